--- /dev/null
+++ b/src/main/java/terndyke/api/Action.java
@@ -0,0 +1,41 @@
+package terndyke.api;
+
+/** What a delivery node is to do. Times are whole microseconds. */
+public sealed interface Action {
+
+    /** Fire the next shot for a record; it is dropped at the clock time notPast. */
+    record Shoot(long id, long endpoint, long notPast) implements Action { }
+
+    /** Stop waiting for a shot. */
+    record Recall(long id, int shot) implements Action { }
+
+    /** Final answer: handed back, harmless to try again after stayAway. */
+    record Bounce(long id, long stayAway) implements Action { }
+
+    /** Final answer: given up, with no promise about the effect. */
+    record Terminate(long id) implements Action { }
+
+    /** Wake the dispatcher after a while. */
+    record Wake(long delay, int token) implements Action { }
+
+    /** Check an endpoint. */
+    record Probe(long endpoint) implements Action { }
+
+    /** Close this node's idle connections to an endpoint. */
+    record DropConnections(long endpoint) implements Action { }
+
+    /** Send a note to another delivery node, or to all where the peer is ALL_PEERS. */
+    record SendNote(int peer, byte[] content) implements Action { }
+
+    /** Ask for changes of the list from now on, or end that. */
+    record FollowList(boolean on) implements Action { }
+
+    /** Ask for the whole list once. */
+    record FetchList() implements Action { }
+
+    /** One line for the log. */
+    record Log(String text) implements Action { }
+
+    /** The peer number that stands for all peers. */
+    int ALL_PEERS = 0xffff;
+}
--- /dev/null
+++ b/src/main/java/terndyke/decision/Route.java
@@ -0,0 +1,76 @@
+package terndyke.decision;
+
+import terndyke.api.Ending;
+import terndyke.api.ListedEndpoint.Standing;
+import terndyke.decision.RoutePicker.Fit;
+
+/** One endpoint of an addressee, with its last fifty outcomes, each dropped after a minute. */
+final class Route {
+    private static final int KEPT = 50;
+    private static final long KEPT_FOR = 60_000_000;
+
+    final long endpoint;
+    final int zone;
+    final Addressee addressee;
+    final Destination destination;
+    Standing standing = Standing.READY;
+    /** First messages given to the route while it had no samples. */
+    int firsts;
+    /** The call of the present turn, which further records may join. */
+    Call joinable;
+
+    private final long[] at = new long[KEPT];
+    private final long[] took = new long[KEPT];
+    private final boolean[] done = new boolean[KEPT];
+    private int size;
+    private int next;
+    private Fit fit;
+    private long oldest;
+
+    Route(long endpoint, int zone, Addressee addressee, Destination destination) {
+        this.endpoint = endpoint;
+        this.zone = zone;
+        this.addressee = addressee;
+        this.destination = destination;
+    }
+
+    /** Keeps an outcome. Refusals and errors count against r alone: how fast they come says nothing of latency. */
+    void learn(long now, Ending ending, long spent) {
+        at[next] = now;
+        took[next] = ending == Ending.DONE || ending == Ending.TIMED_OUT || ending == Ending.RECALLED ? spent : -1;
+        done[next] = ending == Ending.DONE;
+        next = (next + 1) % KEPT;
+        size = Math.min(KEPT, size + 1);
+        fit = null;
+    }
+
+    /** The shifted exponential of the kept outcomes, or null where none answered or was waited for. */
+    Fit fit(long now) {
+        if (fit == null || oldest < now - KEPT_FOR) {
+            refit(now);
+        }
+        return fit;
+    }
+
+    private void refit(long now) {
+        double least = Double.MAX_VALUE;
+        double sum = 0;
+        int timed = 0;
+        int served = 0;
+        int kept = 0;
+        oldest = now;
+        for (int i = 0; i < size; i++) {
+            if (at[i] >= now - KEPT_FOR) {
+                kept++;
+                served += done[i] ? 1 : 0;
+                oldest = Math.min(oldest, at[i]);
+                if (took[i] >= 0) {
+                    timed++;
+                    sum += took[i];
+                    least = Math.min(least, took[i]);
+                }
+            }
+        }
+        fit = timed == 0 ? null : new Fit(least, sum / timed, (double) served / kept);
+    }
+}
