--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -147,6 +147,10 @@
         told(now, wait);
     }
 
+    boolean waitOver(long now) {
+        return now >= waitUntil;
+    }
+
     void told(long now, long wait) {
         if (wait > 0) {
             waitUntil = Math.max(waitUntil, now + wait);
@@ -206,7 +210,7 @@
         if (wait == 0) {
             waitUntil = Math.max(waitUntil, now + (REST_FIRST << Math.min(4, refusedInRow - 1)));
         }
-        if (wait > terms.fallSpan() || refusedInRow >= 3 && now - refusedSince >= terms.fallSpan() * 3 / 4) {
+        if (wait > 2 * terms.fallSpan() || refusedInRow >= 4 && now - refusedSince >= 2 * terms.fallSpan()) {
             failedAt = now;
             cleanAt = -1;
             suspect(now, "refused " + refusedInRow + " in a row, wait " + wait / 1000 + " ms");
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -274,6 +274,7 @@
     private void callEnded(Call call, Event.ShotEnded ended) {
         Route route = call.route;
         call.out--;
+        route.destination.told(now, ended.waitTold());
         if (!call.known) {
             call.known = true;
             Fit fit = route.fit(now);
@@ -432,7 +433,7 @@
     }
 
     private boolean joinable(Route route) {
-        return route.joinable != null && route.joinable.firedAt == now
+        return route.joinable != null && route.joinable.firedAt == now && route.destination.waitOver(now)
                 && route.joinable.records < route.destination.recordsPerCall(now, route.addressee.perCall);
     }
 
