Price slots by expected latency; all sick destinations share half; resting routes

Also covers: one bad endpoint among several. May hurt: a destination whose endpoints all fail at once rests longer.

--- a/src/main/java/terndyke/decision/Addressee.java
+++ b/src/main/java/terndyke/decision/Addressee.java
@@ -9,24 +9,16 @@
     final List<Held> waiting = new ArrayList<>();
     /** The one limit of all routes where they are not apart; null otherwise. */
     Destination shared;
-    /** How many records one call carries at most. */
-    final int perCall;
+    /** How many records one call may carry. */
+    int perCall = 1;
     int callsOut;
-    /** The record to shoot next in this turn, and how urgent it is. */
+    /** The record to shoot next in this turn, and how dear it is. */
     Held next;
     double nextUrgency;
+    boolean sick;
 
-    Addressee(int perCall) {
-        this.perCall = perCall;
-    }
-
-    /** A destination whose calls mostly fail, time out or run far past the fit (the design's companion rule). */
-    boolean sick() {
-        for (Route route : routes) {
-            if (route.destination.sick()) {
-                return true;
-            }
-        }
-        return false;
+    /** The design's companion rule: calls mostly fail, time out or run far past what was usual. */
+    boolean sick(long now, double slowness) {
+        return routes.stream().anyMatch(route -> route.destination.sick(now, slowness));
     }
 }
--- a/src/main/java/terndyke/decision/Call.java
+++ b/src/main/java/terndyke/decision/Call.java
@@ -9,7 +9,6 @@
     int records;
     int out;
     boolean known;
-    boolean recalled;
 
     Call(Route route, long firedAt) {
         this.route = route;
@@ -20,6 +19,7 @@
     static final class Shot {
         final Call call;
         Ending ending;
+        boolean recalled;
 
         Shot(Call call) {
             this.call = call;
--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -10,20 +10,26 @@
 /** What limits, waits, falls and returns as one: a route where routes are apart, else the whole destination. */
 final class Destination {
     /** Share of the budget for a cold destination that all nodes together use. */
-    private static final double CAUTION = 0.6;
+    private static final double CAUTION = 0.8;
     /** Listed rates may be half too high. */
     private static final double LISTED_HIGH = 1.5;
+    /** What a further record adds to the weight of a call. */
     private static final double RECORD_IN_CALL = 0.25;
     private static final long OVERDUE_LEAST = 400_000;
     private static final long OVERDUE_UNKNOWN = 2_000_000;
-    private static final long REST_FIRST = 100_000;
+    private static final long FIRST_REST = 100_000;
+    /** Latency of so many times the usual is far past it. */
+    private static final int FAR = 3;
 
-    final List<Call> out = new ArrayList<>();
     final List<Route> routes = new ArrayList<>();
+    double listedRate;
     private final DeliveryTerms terms;
     private final StringBuilder log;
-    private final int[] seen = new int[3]; // in time, far past the fit, failed
-    double listedRate;
+    private final List<Call> out = new ArrayList<>();
+    private final Histogram usual = new Histogram(64);
+    private final Histogram recent = new Histogram(6);
+    private int fine; // calls that ended well or badly, halved now and then
+    private int failed;
     private double limitTold;
     private double bestRate;
     private int doneInSpan;
@@ -51,17 +57,23 @@
         return suspectAt >= 0;
     }
 
-    boolean returning() {
-        return suspectAt >= 0 && cleanAt >= 0;
+    /** The design's companion rule for one unit. */
+    boolean sick(long now, double slowness) {
+        return suspect() || usual.median() > 0 && expected(now) > FAR * slowness * usual.median();
     }
 
-    boolean sick() {
-        return suspectAt >= 0 || seen[1] + seen[2] > seen[0] && seen[1] + seen[2] > 2;
+    /** How long a call fired now is likely to hold its slot. */
+    long expected(long now) {
+        return Math.max(Math.max(1, recent.median()), out.isEmpty() ? 0 : now - out.get(0).firedAt);
     }
 
     /** True where a call fired then was lost to an outage that is over. */
     boolean returnedSince(long firedAt) {
-        return cleanAt >= 0 && firedAt < cleanAt && firedAt <= suspectAt;
+        return cleanAt >= 0 && firedAt <= suspectAt;
+    }
+
+    boolean waitOver(long now) {
+        return now >= waitUntil;
     }
 
     /** How long a call may run before it is overdue; slowness everywhere at once stretches it. */
@@ -70,22 +82,13 @@
                 : (long) (slowness * Math.max(OVERDUE_LEAST, fit.t() + 6 * fit.spread()));
     }
 
-    /** Calls a second that a destination of this size takes from all nodes, as far as can be told. */
-    private double capacity() {
-        double seenRate = bestRate * terms.nodes();
-        return limitTold > 0 ? limitTold : listedRate > 0 ? Math.max(listedRate / LISTED_HIGH, seenRate / 2) : seenRate;
-    }
-
-    /** Rule 4: this node's part of what a returning destination may get, in calls a second. */
+    /** Rule 4: this node's part of what a cold destination may get, in calls a second, warming from its return. */
     private double returnRate(long now) {
+        double seen = bestRate * terms.nodes();
+        double capacity = limitTold > 0 ? limitTold : Math.max(listedRate / LISTED_HIGH, listedRate > 0 ? seen / 2 : seen);
         double warm = cleanAt < 0 ? 0 : Math.min(1, (double) (now - cleanAt) / terms.coldFor());
         double share = terms.coldShare() + (1 - terms.coldShare()) * warm;
-        double all = Math.max(CAUTION * terms.fallMultiple() * share * capacity(), 1e6 / terms.fallSpan());
-        return all / terms.nodes();
-    }
-
-    private double rate(long now) {
-        return suspect() ? Math.min(pace, returnRate(now)) : pace;
+        return Math.max(CAUTION * terms.fallMultiple() * share * capacity, 1e6 / terms.fallSpan()) / terms.nodes();
     }
 
     /** May a call go now? Rules 4 and 6, and the learned pace. */
@@ -96,7 +99,7 @@
         if (suspect() && cleanAt < 0) {
             return trialDue(now) && (probeGood || !terms.probes());
         }
-        double rate = rate(now);
+        double rate = suspect() ? Math.min(pace, returnRate(now)) : pace;
         if (rate == Double.POSITIVE_INFINITY) {
             return true;
         }
@@ -111,13 +114,17 @@
         return now / turn % terms.nodes() == terms.nodeNumber() && (trialAt < 0 || now / turn != trialAt / turn);
     }
 
-    /** True where a probe is the next thing to send. */
-    boolean wantsProbe(long now) {
-        return terms.probes() && suspect() && cleanAt < 0 && !probeGood && now >= waitUntil && trialDue(now);
-    }
-
-    void probed(long now) {
-        trialAt = now;
+    /** The route to probe now, or null. */
+    Route probe(long now) {
+        if (terms.probes() && suspect() && cleanAt < 0 && !probeGood && now >= waitUntil && trialDue(now)) {
+            for (Route route : routes) {
+                if (route.standing == terndyke.api.ListedEndpoint.Standing.READY) {
+                    trialAt = now;
+                    return route;
+                }
+            }
+        }
+        return null;
     }
 
     /** How many records one call may carry now. */
@@ -139,77 +146,68 @@
         credit -= suspect() ? RECORD_IN_CALL : 0;
     }
 
-    void probeEnded(long now, Ending ending, long wait) {
+    void probeEnded(long now, Ending ending) {
         probeGood = ending == Ending.DONE;
-        if (!probeGood) {
-            failedAt = now;
-        }
-        told(now, wait);
-    }
-
-    boolean waitOver(long now) {
-        return now >= waitUntil;
+        failedAt = probeGood ? failedAt : now;
     }
 
-    void told(long now, long wait) {
-        if (wait > 0) {
-            waitUntil = Math.max(waitUntil, now + wait);
-        }
+    /** Rule 6: a wait told by any outcome binds all that follows. */
+    void told(long now, long wait, float[] report) {
+        waitUntil = wait > 0 ? Math.max(waitUntil, now + wait) : waitUntil;
+        limitTold = terms.limitAt() >= 0 && terms.limitAt() < report.length ? report[terms.limitAt()] : limitTold;
     }
 
-    void reported(float[] report) {
-        if (terms.limitAt() >= 0 && terms.limitAt() < report.length) {
-            limitTold = report[terms.limitAt()];
-        }
-    }
-
-    /** Takes in how a call ended. Far: it ran far past the fit. */
-    void ended(Call call, Ending ending, long wait, boolean far, long now) {
+    /** Takes in how a call ended. */
+    void ended(Call call, Ending ending, long wait, long spent, long now) {
         out.remove(call);
-        told(now, wait);
         if (ending == Ending.DONE) {
-            done(far, now);
+            done(spent, now);
         } else if (ending == Ending.FULL) {
             refused(wait, now);
         } else if (ending != Ending.NOT_SENT && ending != Ending.RECALLED) {
             refusedInRow = 0;
             failedAt = now;
-            count(2);
+            failed++;
             cleanAt = -1;
-            if (seen[2] >= 2 && 2 * seen[2] > seen[0] + seen[1]) {
-                suspect(now, "failed " + seen[2] + " of " + (seen[0] + seen[1] + seen[2]));
+            if (failed >= 2 && failed > fine) {
+                suspect(now, "failed " + failed + " of " + (failed + fine));
             }
         }
+        if (fine + failed > 12) {
+            fine /= 2;
+            failed /= 2;
+        }
     }
 
-    private void done(boolean far, long now) {
+    private void done(long spent, long now) {
         refusedInRow = 0;
         okAt = now;
-        count(far ? 1 : 0);
+        fine++;
+        usual.add(spent);
+        recent.add(spent);
         if (now >= spanEnd) {
-            bestRate = Math.max(0.9 * bestRate, now - spanEnd < terms.fallSpan() ? doneInSpan * 1e6 / terms.fallSpan() : 0);
+            double rate = now - spanEnd < terms.fallSpan() ? doneInSpan * 1e6 / terms.fallSpan() : 0;
+            bestRate = Math.max(0.9 * bestRate, rate);
             doneInSpan = 0;
             spanEnd = now + terms.fallSpan();
         }
         doneInSpan++;
         if (suspect() && cleanAt < 0) {
-            if (failedAt < suspectAt - terms.fallSpan() && now - suspectAt < terms.fallSpan()) {
-                clear(now, "late answer, no failure");
-            } else {
-                cleanAt = now;
-                credit = 0;
-                creditAt = now;
-            }
-        } else if (suspect() && now - cleanAt >= terms.coldFor()) {
-            clear(now, "warm");
+            cleanAt = now;
+            credit = 0;
+            creditAt = now;
+        }
+        if (suspect() && (now - cleanAt >= terms.coldFor()
+                || failedAt < suspectAt - terms.fallSpan() && now - suspectAt < terms.fallSpan())) {
+            log.append("open after ").append((now - suspectAt) / 1000).append(" ms\n");
+            suspectAt = -1;
+            failed = 0;
         }
     }
 
     private void refused(long wait, long now) {
         refusedSince = refusedInRow++ == 0 ? now : refusedSince;
-        if (wait == 0) {
-            waitUntil = Math.max(waitUntil, now + (REST_FIRST << Math.min(4, refusedInRow - 1)));
-        }
+        waitUntil = Math.max(waitUntil, now + (wait > 0 ? wait : FIRST_REST << Math.min(4, refusedInRow - 1)));
         if (wait > 2 * terms.fallSpan() || refusedInRow >= 4 && now - refusedSince >= 2 * terms.fallSpan()) {
             failedAt = now;
             cleanAt = -1;
@@ -222,27 +220,15 @@
         }
     }
 
-    private void count(int bin) {
-        if (++seen[bin] + seen[0] + seen[1] + seen[2] > 16) {
-            for (int i = 0; i < seen.length; i++) {
-                seen[i] /= 2;
-            }
-        }
-    }
-
     /** Looks at the calls that are out: silence is noticed before any of them times out. */
     void tick(long now, double slowness) {
-        if (pace < Double.POSITIVE_INFINITY && now - paceCutAt > 500_000) {
-            pace *= 1.002;
-        }
+        pace *= now - paceCutAt > 500_000 ? 1.002 : 1;
         int overdue = 0;
         for (Call call : out) {
-            long bound = overdueAfter(call.route.fit(now), slowness);
-            if (okAt < call.firedAt && now - call.firedAt > bound) {
-                overdue += now - call.firedAt > 2 * bound ? 2 : 1;
-            }
+            long late = now - call.firedAt - overdueAfter(call.route.fit(now), slowness);
+            overdue += okAt >= call.firedAt || late <= 0 ? 0 : 2 * late > now - call.firedAt ? 2 : 1;
         }
-        if (overdue >= 2 && !suspect()) {
+        if (overdue >= 2) {
             suspect(now, overdue + " overdue");
         }
     }
@@ -255,11 +241,4 @@
             log.append("suspect: ").append(why).append('\n');
         }
     }
-
-    private void clear(long now, String why) {
-        log.append("open after ").append((now - suspectAt) / 1000).append(" ms: ").append(why).append('\n');
-        suspectAt = -1;
-        cleanAt = -1;
-        seen[1] = seen[2] = 0;
-    }
 }
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -6,7 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
+import java.util.TreeSet;
 
 import terndyke.api.Action;
 import terndyke.api.DeliveryTerms;
@@ -33,7 +33,8 @@
     /** Copies that each first shot earns. */
     private static final double COPY_SHARE = 0.1;
     private static final long STEP = 10_000;
-    private static final double[] STRETCH = {1, 2, 4, 8, 16};
+    private static final long RETRY_REST = 50_000;
+    private static final int RATIO_UNIT = 32;
 
     private final DeliveryTerms terms;
     private final Map<Integer, Addressee> addressees = new LinkedHashMap<>();
@@ -41,18 +42,19 @@
     private final List<Destination> destinations = new ArrayList<>();
     private final Map<Long, Held> held = new HashMap<>();
     private final Map<Long, Held.KeyLine> lines = new HashMap<>();
-    private final PriorityQueue<Held> byEnd =
-            new PriorityQueue<>(Comparator.comparingLong((Held h) -> h.abandonAt).thenComparingLong(h -> h.id));
+    private final TreeSet<Held> byEnd = new TreeSet<>(
+            Comparator.comparingLong((Held record) -> record.abandonAt).thenComparingLong(record -> record.id));
     private final StringBuilder log = new StringBuilder();
     private final double[] quotaLeft;
-    private final int[] stretch = new int[STRETCH.length];
+    private final Histogram ratios = new Histogram(32);
     private List<Action> actions;
     private long now;
     private long quotaAt;
     private long wakeAt;
-    private long listAskedAt;
+    private long listAskedAt = Long.MIN_VALUE / 2;
     private int live;
     private int slotsOut;
+    private int sickOut;
     private double copyCredit;
 
     public Dispatcher(DeliveryTerms terms) {
@@ -67,8 +69,7 @@
         for (Event event : events) {
             take(event);
         }
-        askForList();
-        if (now >= wakeAt || events.isEmpty()) {
+        if (now >= wakeAt) {
             tick();
         }
         dispatch();
@@ -77,7 +78,7 @@
             actions.add(new Action.Wake(STEP, 0));
         }
         if (log.length() > 0) {
-            log.toString().lines().forEach(line -> actions.add(new Action.Log(line)));
+            actions.add(new Action.Log(log.toString().strip().replace('\n', ';')));
             log.setLength(0);
         }
         return actions;
@@ -91,21 +92,13 @@
         } else if (event instanceof Event.ListTold told) {
             listTold(told);
         } else if (event instanceof Event.ProbeEnded probe && routes.containsKey(probe.endpoint())) {
-            Destination destination = routes.get(probe.endpoint()).destination;
-            destination.reported(probe.report());
-            destination.probeEnded(now, probe.ending(), 0);
+            routes.get(probe.endpoint()).destination.told(now, 0, probe.report());
+            routes.get(probe.endpoint()).destination.probeEnded(now, probe.ending());
         } else if (event instanceof Event.RecordWithdrawn gone && held.containsKey(gone.id())) {
             over(held.get(gone.id()));
         }
     }
 
-    private void askForList() {
-        if (terms.listOnRequest() && (listAskedAt == 0 || now - listAskedAt > terms.listAskEvery() / 2)) {
-            listAskedAt = now;
-            actions.add(new Action.FollowList(true));
-        }
-    }
-
     private void listTold(Event.ListTold told) {
         if (told.whole()) {
             routes.values().forEach(route -> route.standing = Standing.GONE);
@@ -120,10 +113,13 @@
     }
 
     private Route newRoute(ListedEndpoint entry) {
-        Addressee addressee = addressees.computeIfAbsent(entry.destination(), d -> new Addressee(perCall(entry.kind())));
-        boolean apart = entry.kind() < terms.routesApart().size() && terms.routesApart().get(entry.kind());
-        Destination destination = apart || addressee.shared == null ? new Destination(terms, log) : addressee.shared;
-        if (apart || addressee.shared == null) {
+        Addressee addressee = addressees.computeIfAbsent(entry.destination(), number -> new Addressee());
+        int kind = entry.kind();
+        addressee.perCall = kind < terms.recordsPerCall().size() ? terms.recordsPerCall().get(kind) : 1;
+        boolean apart = kind < terms.routesApart().size() && terms.routesApart().get(kind);
+        Destination destination = addressee.shared;
+        if (apart || destination == null) {
+            destination = new Destination(terms, log);
             destinations.add(destination);
             addressee.shared = apart ? null : destination;
         }
@@ -133,19 +129,16 @@
         return route;
     }
 
-    private int perCall(int kind) {
-        return kind < terms.recordsPerCall().size() ? terms.recordsPerCall().get(kind) : 1;
-    }
-
     private void taken(Event.RecordTaken taken) {
         ServiceGrade grade = terms.grades().get(taken.grade());
-        Addressee addressee = addressees.computeIfAbsent(taken.destination(), d -> new Addressee(1));
+        Addressee addressee = addressees.computeIfAbsent(taken.destination(), number -> new Addressee());
         double payoff = grade.payoff() * (withinShare(taken.tenant()) ? 1 : terms.overSharePayoff());
         long abandonAt = now + taken.remaining();
         long aim = Math.min(grade.abandon(), grade.target() + (long) (grade.stretch() * taken.workHint()));
         Held.KeyLine line = grade.inOrder() && taken.key() != 0
-                ? lines.computeIfAbsent(taken.key(), k -> new Held.KeyLine(k)) : null;
-        Held record = new Held(taken.id(), grade, addressee, abandonAt - grade.abandon() + aim, abandonAt, payoff, line);
+                ? lines.computeIfAbsent(taken.key(), key -> new Held.KeyLine()) : null;
+        long targetAt = abandonAt - grade.abandon() + aim;
+        Held record = new Held(taken.id(), grade, addressee, targetAt, abandonAt, payoff, line);
         held.put(taken.id(), record);
         byEnd.add(record);
         live++;
@@ -170,15 +163,21 @@
         return within;
     }
 
-    /** Holding room: before the door turns records away unseen, the one that can win least is handed back. */
+    /**
+     * Holding room: before the door turns records away unseen, the longest queue hands back what can win least.
+     * Guards against a dead or slow destination filling the room; may hurt a large destination's passing clump.
+     */
     private void makeRoom() {
-        if (live < terms.holdingRoom() - 1 || live < 2) {
+        if (live < terms.holdingRoom() - 1) {
             return;
         }
         Held least = null;
         for (Addressee addressee : addressees.values()) {
             for (Held record : addressee.waiting) {
-                if (record.shotsOut() == 0 && record.mayBounce() && (least == null || urgency(record) < urgency(least))) {
+                if (record.shotsOut() == 0 && record.mayBounce() && (least == null
+                        || addressee.waiting.size() > least.addressee.waiting.size()
+                        || addressee == least.addressee && record.payoffAt(now + 1_000_000, terms.payoffHalves())
+                        < least.payoffAt(now + 1_000_000, terms.payoffHalves()))) {
                     least = record;
                 }
             }
@@ -206,7 +205,8 @@
     /** The final answer, at once: a bounce where its promise holds, otherwise a termination. */
     private void giveUp(Held record) {
         if (record.shotsOut() == 0 && record.mayBounce()) {
-            actions.add(new Action.Bounce(record.id, terms.bounceAdvice() ? Math.min(1_000_000, terms.longestAdvice()) : 0));
+            long stayAway = terms.bounceAdvice() ? Math.min(1_000_000, terms.longestAdvice()) : 0;
+            actions.add(new Action.Bounce(record.id, stayAway));
         } else {
             actions.add(new Action.Terminate(record.id));
         }
@@ -225,7 +225,6 @@
         if (record.line != null) {
             record.line.records.remove(record);
             record.line.strays += out;
-            dropLine(record.line);
         }
         if (out == 0) {
             held.remove(record.id);
@@ -237,18 +236,12 @@
         }
     }
 
-    private void dropLine(Held.KeyLine line) {
-        if (line.records.isEmpty() && line.strays == 0 && line.rested(now)) {
-            lines.remove(line.key);
-        }
-    }
-
     private void shotEnded(Event.ShotEnded ended) {
         Held record = held.get(ended.id());
-        if (record == null || ended.shot() >= record.shots.size() || record.shots.get(ended.shot()).ending != null) {
+        Shot shot = record == null || ended.shot() >= record.shots.size() ? null : record.shots.get(ended.shot());
+        if (shot == null || shot.ending != null) {
             return;
         }
-        Shot shot = record.shots.get(ended.shot());
         shot.ending = ended.ending();
         callEnded(shot.call, ended);
         if (record.line != null) {
@@ -257,8 +250,7 @@
         if (record.over) {
             if (record.line != null) {
                 record.line.strays--;
-                dropLine(record.line);
-            }
+                }
             if (record.shotsOut() == 0) {
                 held.remove(record.id);
             }
@@ -267,26 +259,25 @@
         } else if (now >= record.abandonAt - terms.turn() || record.hopeless(now, terms)) {
             giveUp(record);
         } else if (record.shotsOut() == 0) {
-            queue(record, ended.ending().provesNotRun() ? now : now + (50_000L << Math.min(5, record.shots.size())));
+            queue(record, ended.ending().provesNotRun() ? now : now + (RETRY_REST << Math.min(5, record.shots.size())));
         }
     }
 
     private void callEnded(Call call, Event.ShotEnded ended) {
         Route route = call.route;
         call.out--;
-        route.destination.told(now, ended.waitTold());
+        route.destination.told(now, ended.waitTold(), ended.report());
         if (!call.known) {
             call.known = true;
             Fit fit = route.fit(now);
-            boolean far = fit != null && ended.spent() > Destination.overdueAfter(fit, slowness());
+            boolean late = ended.spent() > Destination.overdueAfter(fit, slowness());
             if (ended.ending() == Ending.DONE && fit != null) {
-                notePulse(ended.spent() / Math.max(1, fit.m()));
+                ratios.add((long) (RATIO_UNIT / 2 * ended.spent() / Math.max(1, fit.m())));
             }
-            if (ended.ending() != Ending.NOT_SENT && (ended.ending() != Ending.RECALLED || far)) {
+            if (ended.ending() != Ending.NOT_SENT && (ended.ending() != Ending.RECALLED || late)) {
                 route.learn(now, ended.ending(), ended.spent());
             }
-            route.destination.reported(ended.report());
-            route.destination.ended(call, ended.ending(), ended.waitTold(), far, now);
+            route.destination.ended(call, ended.ending(), ended.waitTold(), ended.spent(), now);
         }
         if (call.out == 0) {
             slotsOut--;
@@ -296,48 +287,25 @@
 
     /** Slowness everywhere at once is nobody's fault: how the usual call now stands to its route's mean. */
     private double slowness() {
-        int all = 0;
-        for (int n : stretch) {
-            all += n;
-        }
-        int below = 0;
-        for (int i = 0; i < stretch.length; i++) {
-            below += stretch[i];
-            if (2 * below > all) {
-                return STRETCH[i];
-            }
-        }
-        return 1;
-    }
-
-    private void notePulse(double ratio) {
-        int bin = 0;
-        while (bin < STRETCH.length - 1 && ratio > 1.25 * STRETCH[bin]) {
-            bin++;
-        }
-        if (++stretch[bin] > 32) {
-            for (int i = 0; i < stretch.length; i++) {
-                stretch[i] /= 2;
-            }
-        }
+        return Math.max(1, (double) ratios.median() / RATIO_UNIT);
     }
 
     /** Every few milliseconds: ends what is out of time, looks for silence, and takes up overdue shots again. */
     private void tick() {
-        while (!byEnd.isEmpty() && byEnd.peek().abandonAt <= now + STEP + 2 * terms.turn()) {
-            giveUp(byEnd.peek());
+        if (terms.listOnRequest() && now - listAskedAt > terms.listAskEvery() / 2) {
+            listAskedAt = now;
+            actions.add(new Action.FollowList(true));
+        }
+        lines.values().removeIf(line -> line.idle(now));
+        while (!byEnd.isEmpty() && byEnd.first().abandonAt <= now + STEP + 2 * terms.turn()) {
+            giveUp(byEnd.first());
         }
         double slowness = slowness();
         for (Destination destination : destinations) {
             destination.tick(now, slowness);
-            if (destination.wantsProbe(now)) {
-                for (Route route : destination.routes) {
-                    if (route.standing == Standing.READY) {
-                        destination.probed(now);
-                        actions.add(new Action.Probe(route.endpoint));
-                        break;
-                    }
-                }
+            Route route = destination.probe(now);
+            if (route != null) {
+                actions.add(new Action.Probe(route.endpoint));
             }
         }
         for (Held record : new ArrayList<>(byEnd)) {
@@ -349,35 +317,28 @@
         }
     }
 
-    /** A shot that is overdue, or lost to an outage that is over, is doubled, or recalled where copies are barred. */
+    /**
+     * A shot that is overdue, or lost to an outage that is over, is doubled, or recalled where copies are barred.
+     * Covers silence, slowness and lost calls alike; may hurt where a whole destination is slow but at work.
+     */
     private void lateShot(Held record, double slowness) {
-        int last = record.shots.size() - 1;
-        while (record.shots.get(last).ending != null) {
-            last--;
-        }
-        Call call = record.shots.get(last).call;
-        if (call.recalled || now - call.firedAt <= Destination.overdueAfter(call.route.fit(now), slowness)) {
+        Shot shot = record.shots.stream().filter(s -> s.ending == null).findFirst().orElseThrow();
+        Route route = shot.call.route;
+        if (shot.recalled || now - shot.call.firedAt <= Destination.overdueAfter(route.fit(now), slowness)) {
             return;
         }
-        Destination destination = call.route.destination;
-        boolean lost = destination.returnedSince(call.firedAt);
-        boolean elsewhere = record.addressee.routes.stream().anyMatch(route -> route != call.route
-                && route.standing == Standing.READY && !route.destination.suspect() && repeatable(record, call, route));
-        if (lost && terms.recalls() && repeatable(record, call, call.route)
-                || !terms.copies() && terms.recalls() && destination.suspect() && elsewhere) {
-            call.recalled = call.records == 1;
-            actions.add(new Action.Recall(record.id, last));
+        boolean elsewhere = record.addressee.routes.stream().anyMatch(other -> other != route
+                && other.standing == Standing.READY && !other.destination.sick(now, slowness)
+                && record.permits(other, now, terms, shot));
+        boolean lost = route.destination.returnedSince(shot.call.firedAt) && record.permits(route, now, terms, shot);
+        if (terms.recalls() && (lost || !terms.copies() && elsewhere && route.destination.suspect())) {
+            shot.recalled = true;
+            actions.add(new Action.Recall(record.id, record.shots.indexOf(shot)));
         } else if (terms.copies() && elsewhere && 4 * slotsOut < 3 * terms.slots() && copyCredit >= 1) {
             queue(record, now);
         }
     }
 
-    private boolean repeatable(Held record, Call call, Route route) {
-        return record.shots.size() < terms.shotsPerRecord() && (record.grade.effect() == Effect.IDEMPOTENT
-                || record.grade.effect() == Effect.DEDUPLICATED && now < call.firedAt + record.grade.memory() * 9 / 10
-                && (record.grade.anyEndpointDeduplicates() || call.route.zone == route.zone));
-    }
-
     /** Payoff order: what can still be won, the sooner it starts to shrink the dearer. */
     private double urgency(Held record) {
         double slack = Math.max(0, record.targetAt - now) / 1e6;
@@ -385,6 +346,11 @@
     }
 
     private void dispatch() {
+        sickOut = 0;
+        for (Addressee addressee : addressees.values()) {
+            addressee.sick = addressee.sick(now, slowness());
+            sickOut += addressee.sick ? addressee.callsOut : 0;
+        }
         for (Addressee addressee : addressees.values()) {
             addressee.next = addressee.waiting.isEmpty() ? null : best(addressee);
         }
@@ -406,29 +372,32 @@
     private Held best(Addressee addressee) {
         Held best = null;
         double most = -1;
-        if (addressee.routes.stream().noneMatch(this::usable)) {
+        long expected = Long.MAX_VALUE;
+        for (Route route : addressee.routes) {
+            expected = usable(route) ? Math.min(expected, route.destination.expected(now)) : expected;
+        }
+        if (expected == Long.MAX_VALUE) {
             return null;
         }
         for (Held record : addressee.waiting) {
             double urgency = urgency(record);
-            if (urgency > most && record.notBefore <= now && (record.line == null || record.line.hasTurn(record, now))
-                    && addressee.routes.stream().anyMatch(r -> usable(r) && record.permits(r, now, terms))) {
+            if (urgency > most && record.notBefore <= now
+                    && (record.line == null || record.line.hasTurn(record, now))
+                    && addressee.routes.stream()
+                    .anyMatch(route -> usable(route) && record.permits(route, now, terms, null))) {
                 best = record;
                 most = urgency;
             }
         }
-        addressee.nextUrgency = most;
+        addressee.nextUrgency = most / expected; // payoff for each moment of a slot
         return best;
     }
 
     private boolean usable(Route route) {
-        if (route.standing != Standing.READY) {
-            return false;
-        }
-        if (joinable(route)) {
-            return true;
+        if (route.standing != Standing.READY || now < route.restUntil || joinable(route)) {
+            return route.standing == Standing.READY && joinable(route);
         }
-        boolean capped = route.addressee.sick() && 2 * (route.addressee.callsOut + 1) > terms.slots();
+        boolean capped = route.addressee.sick && 2 * (sickOut + 1) > terms.slots();
         return slotsOut < terms.slots() && !capped && route.destination.admits(now);
     }
 
@@ -441,7 +410,7 @@
         List<Route> choice = new ArrayList<>();
         Route fresh = null;
         for (Route route : record.addressee.routes) {
-            if (usable(route) && record.permits(route, now, terms)) {
+            if (usable(route) && record.permits(route, now, terms, null)) {
                 choice.add(route);
                 if (route.fit(now) == null && (fresh == null || route.firsts < fresh.firsts)) {
                     fresh = route;
@@ -457,13 +426,13 @@
             fire(record, fresh);
         } else {
             Fit[] fits = choice.stream().map(route -> route.fit(now)).toArray(Fit[]::new);
-            int set = RoutePicker.pick(fits, Math.max(1, record.grade.target()), Math.max(1, record.abandonAt - now),
-                    LEAST_RELIABILITY, again ? 1 : copyBudget(record));
+            int set = RoutePicker.pick(fits, record.grade.target(), record.abandonAt - now, LEAST_RELIABILITY,
+                    again ? 1 : copyBudget(record));
             for (int i = 0; i < choice.size(); i++) {
-                if ((set >> i & 1) != 0 && (record.shotsOut() == 0 || record.permits(choice.get(i), now, terms))
-                        && usable(choice.get(i))) {
+                Route route = choice.get(i);
+                if ((set >> i & 1) != 0 && usable(route) && record.permits(route, now, terms, null)) {
                     copyCredit -= record.shotsOut() > 0 && !again ? 1 : 0;
-                    fire(record, choice.get(i));
+                    fire(record, route);
                 }
             }
         }
@@ -474,7 +443,7 @@
     /** C-hat: a second call only where copies are allowed, slots are plentiful, and copies have been earned. */
     private int copyBudget(Held record) {
         return terms.copies() && record.grade.effect() != Effect.UNREPEATABLE && record.addressee.perCall == 1
-                && 2 * slotsOut < terms.slots() && !record.addressee.sick() && copyCredit >= 1 ? 2 : 1;
+                && 2 * slotsOut < terms.slots() && !record.addressee.sick && copyCredit >= 1 ? 2 : 1;
     }
 
     private void fire(Held record, Route route) {
@@ -482,6 +451,7 @@
             route.joinable = new Call(route, now);
             slotsOut++;
             route.addressee.callsOut++;
+            sickOut += route.addressee.sick ? 1 : 0;
             route.destination.fired(route.joinable, now);
         } else {
             route.destination.joined();
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -24,7 +24,8 @@
     boolean waiting;
     long notBefore;
 
-    Held(long id, ServiceGrade grade, Addressee addressee, long targetAt, long abandonAt, double payoff, KeyLine line) {
+    Held(long id, ServiceGrade grade, Addressee addressee, long targetAt, long abandonAt, double payoff,
+            KeyLine line) {
         this.id = id;
         this.grade = grade;
         this.addressee = addressee;
@@ -42,78 +43,65 @@
         return out;
     }
 
-    private boolean mayHaveRun() {
-        return shots.stream().anyMatch(Shot::mayHaveRun);
-    }
-
-    /** Rule 2: may another shot go by this route now? */
-    boolean permits(Route route, long now, DeliveryTerms terms) {
+    /** Rule 2: may another shot go by this route now? The one out that is to be recalled first, if any, is passed over. */
+    boolean permits(Route route, long now, DeliveryTerms terms, Shot recalled) {
         if (over || shots.size() >= terms.shotsPerRecord()) {
             return false;
         }
         for (Shot shot : shots) {
-            if (shot.ending == null && (!terms.copies() || shot.call.route == route)) {
-                return false;
-            }
-            if (grade.effect() != Effect.IDEMPOTENT && shot.mayHaveRun() && (grade.effect() == Effect.UNREPEATABLE
-                    || !grade.anyEndpointDeduplicates() && shot.call.route.zone != route.zone
-                    || now >= shot.call.firedAt + grade.memory() - 2 * terms.turn())) {
+            if (shot.ending == null && shot != recalled && (!terms.copies() || shot.call.route == route)
+                    || shot.mayHaveRun() && (outlived(shot, now, terms) || grade.effect() == Effect.DEDUPLICATED
+                    && !grade.anyEndpointDeduplicates() && shot.call.route.zone != route.zone)) {
                 return false;
             }
         }
         return true;
     }
 
+    /** True where no repeat may follow this shot, which may have run. */
+    private boolean outlived(Shot shot, long now, DeliveryTerms terms) {
+        return grade.effect() == Effect.UNREPEATABLE || grade.effect() == Effect.DEDUPLICATED
+                && now >= shot.call.firedAt + grade.memory() - 2 * terms.turn();
+    }
+
     /** Rule 2: does a bounce keep its promise that trying again is harmless? */
     boolean mayBounce() {
-        return grade.effect() == Effect.IDEMPOTENT || !mayHaveRun()
+        return grade.effect() == Effect.IDEMPOTENT || shots.stream().noneMatch(Shot::mayHaveRun)
                 || grade.effect() == Effect.DEDUPLICATED && grade.anyEndpointDeduplicates();
     }
 
     /** True where no shot is out and none may ever follow. */
     boolean hopeless(long now, DeliveryTerms terms) {
-        if (shotsOut() > 0) {
-            return false;
-        }
-        return shots.size() >= terms.shotsPerRecord()
-                || grade.effect() != Effect.IDEMPOTENT && shots.stream().anyMatch(s -> s.mayHaveRun()
-                        && (grade.effect() == Effect.UNREPEATABLE
-                        || now >= s.call.firedAt + grade.memory() - 2 * terms.turn()));
+        return shotsOut() == 0 && (shots.size() >= terms.shotsPerRecord()
+                || shots.stream().anyMatch(shot -> shot.mayHaveRun() && outlived(shot, now, terms)));
     }
 
     /** The payoff of an answer at that time. */
     double payoffAt(long time, boolean halves) {
-        if (time >= abandonAt) {
-            return 0;
-        }
-        if (time <= targetAt) {
-            return payoff;
+        if (time <= targetAt || time >= abandonAt) {
+            return time <= targetAt ? payoff : 0;
         }
         double late = time - targetAt;
-        return payoff * (halves ? Math.max(grade.lateShare(), Math.pow(0.5, late / grade.target()))
-                : 1 - (1 - grade.lateShare()) * late / Math.max(1, abandonAt - targetAt));
+        return payoff * (halves ? Math.max(grade.lateShare(), Math.pow(0.5, late / Math.max(1, grade.target())))
+                : 1 - (1 - grade.lateShare()) * late / (abandonAt - targetAt));
     }
 
     /** Rule 5: the records of one key, in the order in which they were taken. */
     static final class KeyLine {
-        final long key;
         final ArrayDeque<Held> records = new ArrayDeque<>();
+        /** Shots out for records that are over. */
         int strays;
         private long restUntil;
         private Held restsAfter;
 
-        KeyLine(long key) {
-            this.key = key;
-        }
-
-        boolean rested(long now) {
-            return now >= restUntil;
-        }
-
         boolean hasTurn(Held record, long now) {
             return records.peekFirst() == record && strays == 0 && (now >= restUntil || restsAfter == record);
         }
 
+        boolean idle(long now) {
+            return records.isEmpty() && strays == 0 && now >= restUntil;
+        }
+
         void shotEnded(Held record, Ending ending, long now, long rest) {
             if (ending == Ending.TIMED_OUT || ending == Ending.RESET || ending == Ending.RECALLED) {
                 restUntil = now + rest + 1;
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -8,6 +8,7 @@
 final class Route {
     private static final int KEPT = 50;
     private static final long KEPT_FOR = 60_000_000;
+    private static final long FIRST_REST = 125_000;
 
     final long endpoint;
     final int zone;
@@ -18,14 +19,16 @@
     int firsts;
     /** The call of the present turn, which further records may join. */
     Call joinable;
-
+    /** Rests after failures, so that one bad endpoint of several costs few shots. Hurts if all fail at once. */
+    long restUntil;
+    private int failuresInRow;
     private final long[] at = new long[KEPT];
     private final long[] took = new long[KEPT];
     private final boolean[] done = new boolean[KEPT];
     private int size;
     private int next;
-    private Fit fit;
     private long oldest;
+    private Fit fit;
 
     Route(long endpoint, int zone, Addressee addressee, Destination destination) {
         this.endpoint = endpoint;
@@ -34,7 +37,7 @@
         this.destination = destination;
     }
 
-    /** Keeps an outcome. Refusals and errors count against r alone: how fast they come says nothing of latency. */
+    /** Keeps an outcome. Refusals and errors count against r alone: their haste says nothing of latency. */
     void learn(long now, Ending ending, long spent) {
         at[next] = now;
         took[next] = ending == Ending.DONE || ending == Ending.TIMED_OUT || ending == Ending.RECALLED ? spent : -1;
@@ -42,35 +45,31 @@
         next = (next + 1) % KEPT;
         size = Math.min(KEPT, size + 1);
         fit = null;
+        failuresInRow = ending == Ending.DONE || ending == Ending.FULL ? 0 : Math.min(5, failuresInRow + 1);
+        restUntil = failuresInRow == 0 ? 0 : now + (FIRST_REST << failuresInRow - 1);
     }
 
     /** The shifted exponential of the kept outcomes, or null where none answered or was waited for. */
     Fit fit(long now) {
         if (fit == null || oldest < now - KEPT_FOR) {
-            refit(now);
-        }
-        return fit;
-    }
-
-    private void refit(long now) {
-        double least = Double.MAX_VALUE;
-        double sum = 0;
-        int timed = 0;
-        int served = 0;
-        int kept = 0;
-        oldest = now;
-        for (int i = 0; i < size; i++) {
-            if (at[i] >= now - KEPT_FOR) {
-                kept++;
-                served += done[i] ? 1 : 0;
-                oldest = Math.min(oldest, at[i]);
-                if (took[i] >= 0) {
-                    timed++;
-                    sum += took[i];
-                    least = Math.min(least, took[i]);
+            double least = Double.MAX_VALUE;
+            double sum = 0;
+            int timed = 0;
+            int served = 0;
+            int kept = 0;
+            oldest = now;
+            for (int i = 0; i < size; i++) {
+                if (at[i] >= now - KEPT_FOR) {
+                    kept++;
+                    served += done[i] ? 1 : 0;
+                    oldest = Math.min(oldest, at[i]);
+                    timed += took[i] >= 0 ? 1 : 0;
+                    sum += Math.max(0, took[i]);
+                    least = took[i] >= 0 ? Math.min(least, took[i]) : least;
                 }
             }
+            fit = timed == 0 ? null : new Fit(least, sum / timed, (double) served / kept);
         }
-        fit = timed == 0 ? null : new Fit(least, sum / timed, (double) served / kept);
+        return fit;
     }
 }
