--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -168,7 +168,7 @@
             refusedInRow = 0;
             failedAt = now;
             failed++;
-            cleanAt = -1;
+            cleanAt = 2 * failed > fine ? -1 : cleanAt; // one bad endpoint does not undo the others' return
             if (failed >= 2 && failed > fine) {
                 suspect(now, "failed " + failed + " of " + (failed + fine));
             }
@@ -187,18 +187,19 @@
         recent.add(spent);
         if (now >= spanEnd) {
             double rate = now - spanEnd < terms.fallSpan() ? doneInSpan * 1e6 / terms.fallSpan() : 0;
-            bestRate = Math.max(0.9 * bestRate, rate);
+            bestRate = Math.max(suspect() ? bestRate : 0.9 * bestRate, rate);
             doneInSpan = 0;
             spanEnd = now + terms.fallSpan();
         }
         doneInSpan++;
         if (suspect() && cleanAt < 0) {
             cleanAt = now;
+            fine = 1;
+            failed = 0;
             credit = 0;
             creditAt = now;
         }
-        if (suspect() && (now - cleanAt >= terms.coldFor()
-                || failedAt < suspectAt - terms.fallSpan() && now - suspectAt < terms.fallSpan())) {
+        if (suspect() && (now - cleanAt >= terms.coldFor() || failedAt < suspectAt)) { // warm, or only late
             log.append("open after ").append((now - suspectAt) / 1000).append(" ms\n");
             suspectAt = -1;
             failed = 0;
