--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -214,9 +214,8 @@
             cleanAt = -1;
             suspect(now, "refused " + refusedInRow + " in a row, wait " + wait / 1000 + " ms");
         } else if (now - paceCutAt >= 250_000) {
-            double accepted = Math.max(bestRate / 2, 1e6 * doneInSpan / terms.fallSpan());
             double known = Math.max(limitTold, listedRate / LISTED_HIGH) / terms.nodes();
-            pace = Math.max(0.5, 0.85 * Math.min(pace, Math.max(accepted, known)));
+            pace = Math.max(0.5, 0.85 * Math.min(pace, Math.max(1.5 * bestRate, Math.max(known, 1))));
             paceCutAt = now;
         }
     }
