--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -32,6 +32,7 @@
     private int failed;
     private double limitTold;
     private double bestRate;
+    private double lastRate;
     private int doneInSpan;
     private long spanEnd;
     private long waitUntil;
@@ -187,6 +188,7 @@
         recent.add(spent);
         if (now >= spanEnd) {
             double rate = now - spanEnd < terms.fallSpan() ? doneInSpan * 1e6 / terms.fallSpan() : 0;
+            lastRate = rate;
             bestRate = Math.max(suspect() ? bestRate : 0.9 * bestRate, rate);
             doneInSpan = 0;
             spanEnd = now + terms.fallSpan();
@@ -214,8 +216,9 @@
             cleanAt = -1;
             suspect(now, "refused " + refusedInRow + " in a row, wait " + wait / 1000 + " ms");
         } else if (now - paceCutAt >= 250_000) {
+            double served = Math.max(lastRate, 1e6 * doneInSpan / terms.fallSpan());
             double known = Math.max(limitTold, listedRate / LISTED_HIGH) / terms.nodes();
-            pace = Math.max(0.5, 0.85 * Math.min(pace, Math.max(1.5 * bestRate, Math.max(known, 1))));
+            pace = Math.max(0.5, 0.85 * Math.min(pace, Math.max(served, 1.2 * known)));
             paceCutAt = now;
         }
     }
