--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -10,7 +10,7 @@
 /** What limits, waits, falls and returns as one: a route where routes are apart, else the whole destination. */
 final class Destination {
     /** Share of the budget for a cold destination that all nodes together use. */
-    private static final double CAUTION = 0.8;
+    private static final double CAUTION = 0.9;
     /** Listed rates may be half too high. */
     private static final double LISTED_HIGH = 1.5;
     /** What a further record adds to the weight of a call. */
@@ -73,6 +73,17 @@
         return cleanAt >= 0 && firedAt <= suspectAt;
     }
 
+    String state(long now) {
+        return "[pace " + Math.round(100 * pace) / 100.0 + " out " + out.size() + (suspect() ? " suspect " : "")
+                + (cleanAt >= 0 ? " clean" + Math.round(100 * returnRate(now)) / 100.0 : "") + " wait "
+                + Math.max(0, waitUntil - now) / 1000 + " last " + lastRate + " best " + Math.round(bestRate) + "]";
+    }
+
+    /** True where failures since the suspicion bear it out: what is out is most likely lost. */
+    boolean confirmed() {
+        return suspect() && failedAt >= suspectAt;
+    }
+
     boolean waitOver(long now) {
         return now >= waitUntil;
     }
@@ -89,7 +100,8 @@
         double capacity = limitTold > 0 ? limitTold : Math.max(listedRate / LISTED_HIGH, listedRate > 0 ? seen / 2 : seen);
         double warm = cleanAt < 0 ? 0 : Math.min(1, (double) (now - cleanAt) / terms.coldFor());
         double share = terms.coldShare() + (1 - terms.coldShare()) * warm;
-        return Math.max(CAUTION * terms.fallMultiple() * share * capacity, 1e6 / terms.fallSpan()) / terms.nodes();
+        double least = 1e6 / terms.fallSpan() / terms.coldShare(); // of the smallest: one call a span when cold
+        return share * Math.max(CAUTION * terms.fallMultiple() * capacity, least) / terms.nodes();
     }
 
     /** May a call go now? Rules 4 and 6, and the learned pace. */
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -51,6 +51,7 @@
     private long now;
     private long quotaAt;
     private long wakeAt;
+    private long fullAt;
     private long listAskedAt = Long.MIN_VALUE / 2;
     private int live;
     private int slotsOut;
@@ -183,6 +184,15 @@
             }
         }
         if (least != null) {
+            if (now - fullAt > 1_000_000) {
+                log.append("room full: ").append(least.addressee.waiting.size()).append(" of ").append(live)
+                        .append(" wait for one destination, ").append(slotsOut).append(" slots out");
+                for (Route route : least.addressee.routes) {
+                    log.append(' ').append(route.standing).append(route.destination.state(now));
+                }
+                log.append('\n');
+            }
+            fullAt = now;
             giveUp(least);
         }
     }
@@ -331,7 +341,8 @@
                 && other.standing == Standing.READY && !other.destination.sick(now, slowness)
                 && record.permits(other, now, terms, shot));
         boolean lost = route.destination.returnedSince(shot.call.firedAt) && record.permits(route, now, terms, shot);
-        if (terms.recalls() && (lost || !terms.copies() && elsewhere && route.destination.suspect())) {
+        boolean crowded = 2 * sickOut >= terms.slots() && route.destination.confirmed();
+        if (terms.recalls() && (lost || crowded || !terms.copies() && elsewhere && route.destination.suspect())) {
             shot.recalled = true;
             actions.add(new Action.Recall(record.id, record.shots.indexOf(shot)));
         } else if (terms.copies() && elsewhere && 4 * slotsOut < 3 * terms.slots() && copyCredit >= 1) {
@@ -397,7 +408,8 @@
         if (route.standing != Standing.READY || now < route.restUntil || joinable(route)) {
             return route.standing == Standing.READY && joinable(route);
         }
-        boolean capped = route.addressee.sick && 2 * (sickOut + 1) > terms.slots();
+        boolean capped = route.addressee.sick && (2 * (route.addressee.callsOut + 1) > terms.slots()
+                || 2 * sickOut >= terms.slots() && !route.destination.suspect());
         return slotsOut < terms.slots() && !capped && route.destination.admits(now);
     }
 
