--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -148,7 +148,7 @@
 
     void fired(Call call, long now) {
         out.add(call);
-        credit -= 1;
+        credit = Math.max(0, credit - 1); // unpaced calls leave no debt
         if (suspect() && cleanAt < 0) {
             trialAt = now;
             probeGood = false;
