A record whose slot went to a dearer one goes on waiting

Cause: the record to shoot next was chosen before others took the last slots; with no slot left it was taken off its queue unshot and stayed in the room until its abandon time.

--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -429,6 +429,9 @@
                 }
             }
         }
+        if (choice.isEmpty()) {
+            return; // the slots went to dearer records of this turn: it goes on waiting
+        }
         boolean again = record.shotsOut() > 0;
         if (again) {
             copyCredit -= 1;
