--- a/src/main/java/terndyke/decision/Addressee.java
+++ b/src/main/java/terndyke/decision/Addressee.java
@@ -18,7 +18,7 @@
     boolean sick;
 
     /** The design's companion rule: calls mostly fail, time out or run far past what was usual. */
-    boolean sick(long now, double slowness) {
-        return routes.stream().anyMatch(route -> route.destination.sick(now, slowness));
+    boolean sick(long now) {
+        return routes.stream().anyMatch(route -> route.destination.sick(now));
     }
 }
--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -1,53 +1,44 @@
 package terndyke.decision;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.*;
 
 import terndyke.api.DeliveryTerms;
 import terndyke.api.Ending;
+import terndyke.api.ListedEndpoint.Standing;
+import terndyke.decision.Held.Call;
 import terndyke.decision.RoutePicker.Fit;
 
-/** What limits, waits, falls and returns as one: a route where routes are apart, else the whole destination. */
+/** What limits, waits, falls and returns as one: a route where routes are apart, else a whole destination. */
 final class Destination {
     /** Share of the budget for a cold destination that all nodes together use. */
     private static final double CAUTION = 0.9;
-    /** Listed rates may be half too high. */
-    private static final double LISTED_HIGH = 1.5;
-    /** What a further record adds to the weight of a call. */
-    private static final double RECORD_IN_CALL = 0.25;
+    private static final double LISTED_HIGH = 1.5; // a listed rate may be half too high
+    private static final double RECORD_IN_CALL = 0.25; // what a further record adds to a call's weight
     private static final long OVERDUE_LEAST = 400_000;
     private static final long OVERDUE_UNKNOWN = 2_000_000;
     private static final long FIRST_REST = 100_000;
-    /** Latency of so many times the usual is far past it. */
-    private static final int FAR = 3;
+    private static final int FAR = 3; // latency of so many times the usual is far past it
 
     final List<Route> routes = new ArrayList<>();
     double listedRate;
     private final DeliveryTerms terms;
     private final StringBuilder log;
     private final List<Call> out = new ArrayList<>();
-    private final Histogram usual = new Histogram(64);
-    private final Histogram recent = new Histogram(6);
-    private int fine; // calls that ended well or badly, halved now and then
-    private int failed;
-    private double limitTold;
-    private double bestRate;
-    private double lastRate;
+    /** Calls that ended well or badly, halved now and then. */
+    private int fine, failed;
+    /** Calls a second: the limit as reported, and what one span served at best and last. */
+    private double limitTold, bestRate, lastRate;
     private int doneInSpan;
     private long spanEnd;
-    private long waitUntil;
-    private double pace = Double.POSITIVE_INFINITY;
-    private double credit = 1;
-    private long creditAt;
-    private long paceCutAt;
+    /** The learned pace in calls a second, and what it allows at once. */
+    private double pace = Double.POSITIVE_INFINITY, credit = 1;
+    private long creditAt, paceCutAt;
     private int refusedInRow;
     private long refusedSince;
-    private long okAt = -1;
-    private long failedAt = -1;
-    private long suspectAt = -1;
-    private long cleanAt = -1;
-    private long trialAt = -1;
+    /** When a call was last done or failed, an outage suspected, its end seen, a trial made; or -1. */
+    private long okAt = -1, failedAt = -1, suspectAt = -1, cleanAt = -1, trialAt = -1;
     private boolean probeGood;
+    long waitUntil;
 
     Destination(DeliveryTerms terms, StringBuilder log) {
         this.terms = terms;
@@ -58,14 +49,19 @@
         return suspectAt >= 0;
     }
 
-    /** The design's companion rule for one unit. */
-    boolean sick(long now, double slowness) {
-        return suspect() || usual.median() > 0 && expected(now) > FAR * slowness * usual.median();
+    /** The design's companion rule: calls mostly fail, time out or run far past the fitted mean. */
+    boolean sick(long now) {
+        return suspect() || !out.isEmpty() && expected(now) > FAR * fitted(now);
     }
 
     /** How long a call fired now is likely to hold its slot. */
-    long expected(long now) {
-        return Math.max(Math.max(1, recent.median()), out.isEmpty() ? 0 : now - out.get(0).firedAt);
+    double expected(long now) {
+        return Math.max(fitted(now), out.isEmpty() ? 0 : now - out.get(0).firedAt);
+    }
+
+    private double fitted(long now) {
+        return routes.stream().map(route -> route.fit(now)).filter(Objects::nonNull).mapToDouble(Fit::m)
+                .min().orElse(OVERDUE_LEAST);
     }
 
     /** True where a call fired then was lost to an outage that is over. */
@@ -73,31 +69,21 @@
         return cleanAt >= 0 && firedAt <= suspectAt;
     }
 
-    String state(long now) {
-        return "[pace " + Math.round(100 * pace) / 100.0 + " out " + out.size() + (suspect() ? " suspect " : "")
-                + (cleanAt >= 0 ? " clean" + Math.round(100 * returnRate(now)) / 100.0 : "") + " wait "
-                + Math.max(0, waitUntil - now) / 1000 + " last " + lastRate + " best " + Math.round(bestRate) + "]";
-    }
-
     /** True where failures since the suspicion bear it out: what is out is most likely lost. */
     boolean confirmed() {
         return suspect() && failedAt >= suspectAt;
     }
 
-    boolean waitOver(long now) {
-        return now >= waitUntil;
+    /** How long a call may run before it is overdue. */
+    static long overdueAfter(Fit fit) {
+        return fit == null ? OVERDUE_UNKNOWN : (long) Math.max(OVERDUE_LEAST, fit.t() + 6 * fit.spread());
     }
 
-    /** How long a call may run before it is overdue; slowness everywhere at once stretches it. */
-    static long overdueAfter(Fit fit, double slowness) {
-        return fit == null ? OVERDUE_UNKNOWN
-                : (long) (slowness * Math.max(OVERDUE_LEAST, fit.t() + 6 * fit.spread()));
-    }
-
-    /** Rule 4: this node's part of what a cold destination may get, in calls a second, warming from its return. */
+    /** Rule 4: this node's part of what a cold destination may get, in calls a second, growing as it warms. */
     private double returnRate(long now) {
         double seen = bestRate * terms.nodes();
-        double capacity = limitTold > 0 ? limitTold : Math.max(listedRate / LISTED_HIGH, listedRate > 0 ? seen / 2 : seen);
+        double capacity = limitTold > 0 ? limitTold
+                : Math.max(listedRate / LISTED_HIGH, listedRate > 0 ? seen / 2 : seen);
         double warm = cleanAt < 0 ? 0 : Math.min(1, (double) (now - cleanAt) / terms.coldFor());
         double share = terms.coldShare() + (1 - terms.coldShare()) * warm;
         double least = 1e6 / terms.fallSpan() / terms.coldShare(); // of the smallest: one call a span when cold
@@ -112,10 +98,7 @@
         if (suspect() && cleanAt < 0) {
             return trialDue(now) && (probeGood || !terms.probes());
         }
-        double rate = suspect() ? Math.min(pace, returnRate(now)) : pace;
-        if (rate == Double.POSITIVE_INFINITY) {
-            return true;
-        }
+        double rate = Math.min(1e6, suspect() ? Math.min(pace, returnRate(now)) : pace);
         credit = Math.min(Math.max(1, rate / 2), credit + rate * (now - creditAt) / 1e6);
         creditAt = now;
         return credit >= 1;
@@ -124,26 +107,22 @@
     /** Nodes take turns at a destination that may have returned, each by its own number. */
     private boolean trialDue(long now) {
         long turn = (long) (1e6 / (returnRate(now) * terms.nodes()));
-        return now / turn % terms.nodes() == terms.nodeNumber() && (trialAt < 0 || now / turn != trialAt / turn);
+        return now / turn % terms.nodes() == terms.nodeNumber() && now / turn != trialAt / turn;
     }
 
     /** The route to probe now, or null. */
     Route probe(long now) {
-        if (terms.probes() && suspect() && cleanAt < 0 && !probeGood && now >= waitUntil && trialDue(now)) {
-            for (Route route : routes) {
-                if (route.standing == terndyke.api.ListedEndpoint.Standing.READY) {
-                    trialAt = now;
-                    return route;
-                }
-            }
+        if (!terms.probes() || !suspect() || cleanAt >= 0 || probeGood || now < waitUntil || !trialDue(now)) {
+            return null;
         }
-        return null;
+        trialAt = now;
+        return routes.stream().filter(route -> route.standing == Standing.READY).findFirst().orElse(null);
     }
 
     /** How many records one call may carry now. */
     int recordsPerCall(long now, int most) {
-        return !suspect() ? most : cleanAt < 0 ? 1
-                : (int) Math.max(1, Math.min(most, returnRate(now) * terms.fallSpan() / 2e6 / RECORD_IN_CALL));
+        double cold = cleanAt < 0 ? 1 : returnRate(now) * terms.fallSpan() / 2e6 / RECORD_IN_CALL;
+        return suspect() ? (int) Math.max(1, Math.min(most, cold)) : most;
     }
 
     void fired(Call call, long now) {
@@ -159,22 +138,23 @@
         credit -= suspect() ? RECORD_IN_CALL : 0;
     }
 
-    void probeEnded(long now, Ending ending) {
+    void probeEnded(long now, Ending ending, float[] report) {
+        told(now, 0, report);
         probeGood = ending == Ending.DONE;
         failedAt = probeGood ? failedAt : now;
     }
 
     /** Rule 6: a wait told by any outcome binds all that follows. */
     void told(long now, long wait, float[] report) {
-        waitUntil = wait > 0 ? Math.max(waitUntil, now + wait) : waitUntil;
+        waitUntil = Math.max(waitUntil, now + wait);
         limitTold = terms.limitAt() >= 0 && terms.limitAt() < report.length ? report[terms.limitAt()] : limitTold;
     }
 
     /** Takes in how a call ended. */
-    void ended(Call call, Ending ending, long wait, long spent, long now) {
+    void ended(Call call, Ending ending, long wait, long now) {
         out.remove(call);
         if (ending == Ending.DONE) {
-            done(spent, now);
+            done(now);
         } else if (ending == Ending.FULL) {
             refused(wait, now);
         } else if (ending != Ending.NOT_SENT && ending != Ending.RECALLED) {
@@ -192,16 +172,13 @@
         }
     }
 
-    private void done(long spent, long now) {
+    private void done(long now) {
         refusedInRow = 0;
         okAt = now;
         fine++;
-        usual.add(spent);
-        recent.add(spent);
         if (now >= spanEnd) {
-            double rate = now - spanEnd < terms.fallSpan() ? doneInSpan * 1e6 / terms.fallSpan() : 0;
-            lastRate = rate;
-            bestRate = Math.max(suspect() ? bestRate : 0.9 * bestRate, rate);
+            lastRate = now - spanEnd < terms.fallSpan() ? doneInSpan * 1e6 / terms.fallSpan() : 0;
+            bestRate = Math.max(suspect() ? bestRate : 0.9 * bestRate, lastRate);
             doneInSpan = 0;
             spanEnd = now + terms.fallSpan();
         }
@@ -235,16 +212,24 @@
         }
     }
 
-    /** Looks at the calls that are out: silence is noticed before any of them times out. */
-    void tick(long now, double slowness) {
-        pace *= now - paceCutAt > 500_000 ? 1.002 : 1;
+    /** Silence is noticed before any call times out: calls overdue with no answer since, far overdue ones twice. */
+    int overdue(long now) {
         int overdue = 0;
         for (Call call : out) {
-            long late = now - call.firedAt - overdueAfter(call.route.fit(now), slowness);
+            long late = now - call.firedAt - overdueAfter(call.route.fit(now));
             overdue += okAt >= call.firedAt || late <= 0 ? 0 : 2 * late > now - call.firedAt ? 2 : 1;
         }
-        if (overdue >= 2) {
-            suspect(now, overdue + " overdue");
+        return overdue;
+    }
+
+    boolean busy() {
+        return !out.isEmpty();
+    }
+
+    void tick(long now, boolean allLate) {
+        pace *= now - paceCutAt > 500_000 ? 1.002 : 1;
+        if (!allLate && overdue(now) >= 2) {
+            suspect(now, overdue(now) + " overdue");
         }
     }
 
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -1,40 +1,26 @@
 package terndyke.decision;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.TreeSet;
+import java.util.*;
 
-import terndyke.api.Action;
-import terndyke.api.DeliveryTerms;
-import terndyke.api.Ending;
-import terndyke.api.Event;
-import terndyke.api.ListedEndpoint;
+import terndyke.api.*;
 import terndyke.api.ListedEndpoint.Standing;
-import terndyke.api.ServiceGrade;
 import terndyke.api.ServiceGrade.Effect;
-import terndyke.decision.Call.Shot;
+import terndyke.decision.Held.Call;
+import terndyke.decision.Held.Shot;
 import terndyke.decision.RoutePicker.Fit;
 
-/**
- * The decision module's one entry point: turn() takes what happened and returns what is to be done. Its interface is
- * the package terndyke.api; all decisions are in this package, and nothing here knows a protocol.
- *
- * <p>The design (RoutePicker over Route's fits) decides where each record goes; a sick destination holds at most half
- * of the slots. Beside it stand six mechanisms: (1) pace learned from refusals, (2) suspicion of an outage and the
- * budgeted return, both in Destination; (3) late shots: copies and recalls when a shot is overdue, (4) payoff order,
- * (5) holding room, here; (6) lines by key, in Held.
- */
+/** The decision module's one entry point: turn() takes what happened and returns what is to be done. Its
+ * interface is the package terndyke.api; all decisions are in this package, and nothing here knows a protocol.
+ * The design (RoutePicker over Route's fits) decides where each record goes, and a sick destination holds
+ * at most half of the slots. Beside it stand six mechanisms: (1) the pace learned from refusals, (2) suspicion
+ * of an outage and the budgeted return, both in Destination; (3) late shots, (4) payoff order, (5) holding
+ * room, here; (6) lines by key, in Held. */
 public final class Dispatcher {
     private static final double LEAST_RELIABILITY = 0.9;
     /** Copies that each first shot earns. */
     private static final double COPY_SHARE = 0.1;
     private static final long STEP = 10_000;
     private static final long RETRY_REST = 50_000;
-    private static final int RATIO_UNIT = 32;
 
     private final DeliveryTerms terms;
     private final Map<Integer, Addressee> addressees = new LinkedHashMap<>();
@@ -46,16 +32,11 @@
             Comparator.comparingLong((Held record) -> record.abandonAt).thenComparingLong(record -> record.id));
     private final StringBuilder log = new StringBuilder();
     private final double[] quotaLeft;
-    private final Histogram ratios = new Histogram(32);
     private List<Action> actions;
-    private long now;
-    private long quotaAt;
-    private long wakeAt;
-    private long fullAt;
-    private long listAskedAt = Long.MIN_VALUE / 2;
-    private int live;
-    private int slotsOut;
-    private int sickOut;
+    private long now, quotaAt, wakeAt, fullAt;
+    private boolean following;
+    /** Calls out, in all and at sick destinations. */
+    private int slotsOut, sickOut;
     private double copyCredit;
 
     public Dispatcher(DeliveryTerms terms) {
@@ -67,14 +48,12 @@
     public List<Action> turn(long time, List<Event> events) {
         now = time;
         actions = new ArrayList<>();
-        for (Event event : events) {
-            take(event);
-        }
+        events.forEach(this::take);
         if (now >= wakeAt) {
             tick();
         }
         dispatch();
-        if (live > 0 && wakeAt <= now) {
+        if (!byEnd.isEmpty() && wakeAt <= now) {
             wakeAt = now + STEP;
             actions.add(new Action.Wake(STEP, 0));
         }
@@ -92,10 +71,12 @@
             shotEnded(ended);
         } else if (event instanceof Event.ListTold told) {
             listTold(told);
+        } else if (event instanceof Event.ListFailed) {
+            following = false;
         } else if (event instanceof Event.ProbeEnded probe && routes.containsKey(probe.endpoint())) {
-            routes.get(probe.endpoint()).destination.told(now, 0, probe.report());
-            routes.get(probe.endpoint()).destination.probeEnded(now, probe.ending());
-        } else if (event instanceof Event.RecordWithdrawn gone && held.containsKey(gone.id())) {
+            routes.get(probe.endpoint()).destination.probeEnded(now, probe.ending(), probe.report());
+        } else if (event instanceof Event.RecordWithdrawn gone && held.containsKey(gone.id())
+                && !held.get(gone.id()).over) {
             over(held.get(gone.id()));
         }
     }
@@ -134,15 +115,11 @@
         ServiceGrade grade = terms.grades().get(taken.grade());
         Addressee addressee = addressees.computeIfAbsent(taken.destination(), number -> new Addressee());
         double payoff = grade.payoff() * (withinShare(taken.tenant()) ? 1 : terms.overSharePayoff());
-        long abandonAt = now + taken.remaining();
-        long aim = Math.min(grade.abandon(), grade.target() + (long) (grade.stretch() * taken.workHint()));
         Held.KeyLine line = grade.inOrder() && taken.key() != 0
                 ? lines.computeIfAbsent(taken.key(), key -> new Held.KeyLine()) : null;
-        long targetAt = abandonAt - grade.abandon() + aim;
-        Held record = new Held(taken.id(), grade, addressee, targetAt, abandonAt, payoff, line);
+        Held record = new Held(taken, now, grade, addressee, payoff, line);
         held.put(taken.id(), record);
         byEnd.add(record);
-        live++;
         if (line != null) {
             line.records.add(record);
         }
@@ -159,38 +136,22 @@
             quotaLeft[i] = Math.min(2 * rate, quotaLeft[i] + rate * (now - quotaAt) / 1e6);
         }
         quotaAt = now;
-        boolean within = quotaLeft[tenant] >= 1;
-        quotaLeft[tenant] -= within ? 1 : 0;
-        return within;
+        return quotaLeft[tenant] >= 1 && quotaLeft[tenant]-- >= 1;
     }
 
-    /**
-     * Holding room: before the door turns records away unseen, the longest queue hands back what can win least.
-     * Guards against a dead or slow destination filling the room; may hurt a large destination's passing clump.
-     */
+    /** Holding room: before the door turns records away unseen, the longest queue hands back what can win least.
+     * Guards against a dead or slow destination filling the room; may hurt a large destination's passing clump. */
     private void makeRoom() {
-        if (live < terms.holdingRoom() - 1) {
+        if (byEnd.size() < terms.holdingRoom() - 1) {
             return;
         }
-        Held least = null;
-        for (Addressee addressee : addressees.values()) {
-            for (Held record : addressee.waiting) {
-                if (record.shotsOut() == 0 && record.mayBounce() && (least == null
-                        || addressee.waiting.size() > least.addressee.waiting.size()
-                        || addressee == least.addressee && record.payoffAt(now + 1_000_000, terms.payoffHalves())
-                        < least.payoffAt(now + 1_000_000, terms.payoffHalves()))) {
-                    least = record;
-                }
-            }
-        }
+        Held least = byEnd.stream().filter(record -> record.shotsOut() == 0 && record.mayBounce())
+                .min(Comparator.comparingInt((Held record) -> -record.addressee.waiting.size())
+                .thenComparingDouble(record -> record.payoffAt(now + 1_000_000, terms.payoffHalves()))).orElse(null);
         if (least != null) {
             if (now - fullAt > 1_000_000) {
-                log.append("room full: ").append(least.addressee.waiting.size()).append(" of ").append(live)
-                        .append(" wait for one destination, ").append(slotsOut).append(" slots out");
-                for (Route route : least.addressee.routes) {
-                    log.append(' ').append(route.standing).append(route.destination.state(now));
-                }
-                log.append('\n');
+                log.append("room full: ").append(least.addressee.waiting.size()).append(" of ").append(byEnd.size())
+                        .append(" wait for one destination, slots out ").append(slotsOut).append('\n');
             }
             fullAt = now;
             giveUp(least);
@@ -200,15 +161,7 @@
     private void queue(Held record, long notBefore) {
         record.notBefore = notBefore;
         if (!record.waiting) {
-            record.waiting = true;
-            record.addressee.waiting.add(record);
-        }
-    }
-
-    private void stopWaiting(Held record) {
-        if (record.waiting) {
-            record.waiting = false;
-            record.addressee.waiting.remove(record);
+            record.waiting = record.addressee.waiting.add(record);
         }
     }
 
@@ -224,19 +177,15 @@
     }
 
     private void over(Held record) {
-        if (record.over) {
-            return;
-        }
         record.over = true;
-        live--;
-        stopWaiting(record);
+        record.waiting = false;
+        record.addressee.waiting.remove(record);
         byEnd.remove(record);
-        int out = record.shotsOut();
         if (record.line != null) {
             record.line.records.remove(record);
-            record.line.strays += out;
+            record.line.strays += record.shotsOut();
         }
-        if (out == 0) {
+        if (record.shotsOut() == 0) {
             held.remove(record.id);
         }
         for (int i = 0; i < record.shots.size() && terms.recalls(); i++) {
@@ -258,9 +207,6 @@
             record.line.shotEnded(record, ended.ending(), now, terms.keyRest());
         }
         if (record.over) {
-            if (record.line != null) {
-                record.line.strays--;
-                }
             if (record.shotsOut() == 0) {
                 held.remove(record.id);
             }
@@ -269,7 +215,8 @@
         } else if (now >= record.abandonAt - terms.turn() || record.hopeless(now, terms)) {
             giveUp(record);
         } else if (record.shotsOut() == 0) {
-            queue(record, ended.ending().provesNotRun() ? now : now + (RETRY_REST << Math.min(5, record.shots.size())));
+            long rest = RETRY_REST << Math.min(5, record.shots.size());
+            queue(record, ended.ending().provesNotRun() ? now : now + rest);
         }
     }
 
@@ -279,15 +226,11 @@
         route.destination.told(now, ended.waitTold(), ended.report());
         if (!call.known) {
             call.known = true;
-            Fit fit = route.fit(now);
-            boolean late = ended.spent() > Destination.overdueAfter(fit, slowness());
-            if (ended.ending() == Ending.DONE && fit != null) {
-                ratios.add((long) (RATIO_UNIT / 2 * ended.spent() / Math.max(1, fit.m())));
-            }
+            boolean late = ended.spent() > Destination.overdueAfter(route.fit(now));
             if (ended.ending() != Ending.NOT_SENT && (ended.ending() != Ending.RECALLED || late)) {
                 route.learn(now, ended.ending(), ended.spent());
             }
-            route.destination.ended(call, ended.ending(), ended.waitTold(), ended.spent(), now);
+            route.destination.ended(call, ended.ending(), ended.waitTold(), now);
         }
         if (call.out == 0) {
             slotsOut--;
@@ -295,24 +238,20 @@
         }
     }
 
-    /** Slowness everywhere at once is nobody's fault: how the usual call now stands to its route's mean. */
-    private double slowness() {
-        return Math.max(1, (double) ratios.median() / RATIO_UNIT);
-    }
-
     /** Every few milliseconds: ends what is out of time, looks for silence, and takes up overdue shots again. */
     private void tick() {
-        if (terms.listOnRequest() && now - listAskedAt > terms.listAskEvery() / 2) {
-            listAskedAt = now;
+        if (terms.listOnRequest() && !following) {
+            following = true;
             actions.add(new Action.FollowList(true));
         }
         lines.values().removeIf(line -> line.idle(now));
         while (!byEnd.isEmpty() && byEnd.first().abandonAt <= now + STEP + 2 * terms.turn()) {
             giveUp(byEnd.first());
         }
-        double slowness = slowness();
+        long busy = destinations.stream().filter(Destination::busy).count();
+        long late = destinations.stream().filter(destination -> destination.overdue(now) > 0).count();
         for (Destination destination : destinations) {
-            destination.tick(now, slowness);
+            destination.tick(now, late > 2 && 2 * late > busy); // slowness everywhere at once is nobody's fault
             Route route = destination.probe(now);
             if (route != null) {
                 actions.add(new Action.Probe(route.endpoint));
@@ -322,25 +261,24 @@
             if (record.hopeless(now, terms)) {
                 giveUp(record);
             } else if (!record.waiting && record.shotsOut() == 1) {
-                lateShot(record, slowness);
+                lateShot(record);
             }
         }
     }
 
-    /**
-     * A shot that is overdue, or lost to an outage that is over, is doubled, or recalled where copies are barred.
-     * Covers silence, slowness and lost calls alike; may hurt where a whole destination is slow but at work.
-     */
-    private void lateShot(Held record, double slowness) {
+    /** A shot that is overdue, or lost to an outage that is over, is doubled, or recalled where copies are barred.
+     * Covers silence, slowness and lost calls alike; may hurt where a whole destination is slow but at work. */
+    private void lateShot(Held record) {
         Shot shot = record.shots.stream().filter(s -> s.ending == null).findFirst().orElseThrow();
         Route route = shot.call.route;
-        if (shot.recalled || now - shot.call.firedAt <= Destination.overdueAfter(route.fit(now), slowness)) {
+        if (shot.recalled || now - shot.call.firedAt <= Destination.overdueAfter(route.fit(now))) {
             return;
         }
         boolean elsewhere = record.addressee.routes.stream().anyMatch(other -> other != route
-                && other.standing == Standing.READY && !other.destination.sick(now, slowness)
+                && other.standing == Standing.READY && !other.destination.sick(now)
                 && record.permits(other, now, terms, shot));
-        boolean lost = route.destination.returnedSince(shot.call.firedAt) && record.permits(route, now, terms, shot);
+        boolean lost = route.destination.returnedSince(shot.call.firedAt)
+                && record.permits(route, now, terms, shot);
         boolean crowded = 2 * sickOut >= terms.slots() && route.destination.confirmed();
         if (terms.recalls() && (lost || crowded || !terms.copies() && elsewhere && route.destination.suspect())) {
             shot.recalled = true;
@@ -359,49 +297,45 @@
     private void dispatch() {
         sickOut = 0;
         for (Addressee addressee : addressees.values()) {
-            addressee.sick = addressee.sick(now, slowness());
+            addressee.sick = addressee.sick(now);
             sickOut += addressee.sick ? addressee.callsOut : 0;
         }
-        for (Addressee addressee : addressees.values()) {
-            addressee.next = addressee.waiting.isEmpty() ? null : best(addressee);
-        }
+        List<Addressee> open = new ArrayList<>(addressees.values());
+        open.removeIf(addressee -> addressee.waiting.isEmpty());
+        open.forEach(this::findNext);
         while (true) {
-            Addressee first = null;
-            for (Addressee addressee : addressees.values()) {
-                if (addressee.next != null && (first == null || addressee.nextUrgency > first.nextUrgency)) {
-                    first = addressee;
-                }
-            }
-            if (first == null) {
+            open.removeIf(addressee -> addressee.next == null);
+            if (open.isEmpty()) {
                 return;
             }
+            Addressee first = open.get(0);
+            for (Addressee addressee : open) {
+                first = addressee.nextUrgency > first.nextUrgency ? addressee : first;
+            }
             shoot(first.next);
-            first.next = best(first);
+            findNext(first);
         }
     }
 
-    private Held best(Addressee addressee) {
-        Held best = null;
-        double most = -1;
-        long expected = Long.MAX_VALUE;
-        for (Route route : addressee.routes) {
-            expected = usable(route) ? Math.min(expected, route.destination.expected(now)) : expected;
-        }
-        if (expected == Long.MAX_VALUE) {
-            return null;
+    /** Finds the addressee's dearest record that may be shot now. */
+    private void findNext(Addressee addressee) {
+        addressee.next = null;
+        List<Route> usable = addressee.routes.stream().filter(this::usable).toList();
+        if (usable.isEmpty()) {
+            return;
         }
+        double most = -1;
         for (Held record : addressee.waiting) {
             double urgency = urgency(record);
             if (urgency > most && record.notBefore <= now
                     && (record.line == null || record.line.hasTurn(record, now))
-                    && addressee.routes.stream()
-                    .anyMatch(route -> usable(route) && record.permits(route, now, terms, null))) {
-                best = record;
+                    && usable.stream().anyMatch(route -> record.permits(route, now, terms, null))) {
+                addressee.next = record;
                 most = urgency;
             }
         }
+        double expected = usable.stream().mapToDouble(route -> route.destination.expected(now)).min().getAsDouble();
         addressee.nextUrgency = most / expected; // payoff for each moment of a slot
-        return best;
     }
 
     private boolean usable(Route route) {
@@ -414,28 +348,20 @@
     }
 
     private boolean joinable(Route route) {
-        return route.joinable != null && route.joinable.firedAt == now && route.destination.waitOver(now)
+        return route.joinable != null && route.joinable.firedAt == now && now >= route.destination.waitUntil
                 && route.joinable.records < route.destination.recordsPerCall(now, route.addressee.perCall);
     }
 
     private void shoot(Held record) {
-        List<Route> choice = new ArrayList<>();
-        Route fresh = null;
-        for (Route route : record.addressee.routes) {
-            if (usable(route) && record.permits(route, now, terms, null)) {
-                choice.add(route);
-                if (route.fit(now) == null && (fresh == null || route.firsts < fresh.firsts)) {
-                    fresh = route;
-                }
-            }
-        }
+        List<Route> choice = record.addressee.routes.stream()
+                .filter(route -> usable(route) && record.permits(route, now, terms, null)).toList();
         if (choice.isEmpty()) {
             return; // the slots went to dearer records of this turn: it goes on waiting
         }
         boolean again = record.shotsOut() > 0;
-        if (again) {
-            copyCredit -= 1;
-        }
+        copyCredit = Math.min(terms.slots(), copyCredit + (again ? -1 : COPY_SHARE));
+        Route fresh = choice.stream().filter(route -> route.fit(now) == null)
+                .min(Comparator.comparingInt(route -> route.firsts)).orElse(null);
         if (fresh != null) {
             fresh.firsts++;
             fire(record, fresh);
@@ -443,16 +369,16 @@
             Fit[] fits = choice.stream().map(route -> route.fit(now)).toArray(Fit[]::new);
             int set = RoutePicker.pick(fits, record.grade.target(), record.abandonAt - now, LEAST_RELIABILITY,
                     again ? 1 : copyBudget(record));
-            for (int i = 0; i < choice.size(); i++) {
-                Route route = choice.get(i);
-                if ((set >> i & 1) != 0 && usable(route) && record.permits(route, now, terms, null)) {
+            for (int i = 0; i < fits.length; i++) {
+                if ((set >> i & 1) != 0 && usable(choice.get(i))
+                        && record.permits(choice.get(i), now, terms, null)) {
                     copyCredit -= record.shotsOut() > 0 && !again ? 1 : 0;
-                    fire(record, route);
+                    fire(record, choice.get(i));
                 }
             }
         }
-        copyCredit = Math.min(terms.slots(), copyCredit + COPY_SHARE);
-        stopWaiting(record);
+        record.waiting = false;
+        record.addressee.waiting.remove(record);
     }
 
     /** C-hat: a second call only where copies are allowed, slots are plentiful, and copies have been earned. */
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -1,14 +1,9 @@
 package terndyke.decision;
 
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.*;
 
-import terndyke.api.DeliveryTerms;
-import terndyke.api.Ending;
-import terndyke.api.ServiceGrade;
+import terndyke.api.*;
 import terndyke.api.ServiceGrade.Effect;
-import terndyke.decision.Call.Shot;
 
 /** A record that the node has taken, with its shots: what may still be done with it (rules 1, 2 and 5). */
 final class Held {
@@ -20,38 +15,34 @@
     final double payoff;
     final KeyLine line;
     final List<Shot> shots = new ArrayList<>(2);
-    boolean over;
-    boolean waiting;
+    boolean over, waiting;
     long notBefore;
 
-    Held(long id, ServiceGrade grade, Addressee addressee, long targetAt, long abandonAt, double payoff,
-            KeyLine line) {
-        this.id = id;
+    Held(Event.RecordTaken taken, long now, ServiceGrade grade, Addressee addressee, double payoff, KeyLine line) {
+        this.id = taken.id();
         this.grade = grade;
         this.addressee = addressee;
-        this.targetAt = targetAt;
-        this.abandonAt = abandonAt;
+        this.abandonAt = now + taken.remaining();
+        this.targetAt = abandonAt - grade.abandon()
+                + Math.min(grade.abandon(), grade.target() + (long) (grade.stretch() * taken.workHint()));
         this.payoff = payoff;
         this.line = line;
     }
 
     int shotsOut() {
-        int out = 0;
-        for (Shot shot : shots) {
-            out += shot.ending == null ? 1 : 0;
-        }
-        return out;
+        return (int) shots.stream().filter(shot -> shot.ending == null).count();
     }
 
-    /** Rule 2: may another shot go by this route now? The one out that is to be recalled first, if any, is passed over. */
+    /** Rule 2: may another shot go by this route now, once the given one out, if any, is recalled? */
     boolean permits(Route route, long now, DeliveryTerms terms, Shot recalled) {
         if (over || shots.size() >= terms.shotsPerRecord()) {
             return false;
         }
         for (Shot shot : shots) {
             if (shot.ending == null && shot != recalled && (!terms.copies() || shot.call.route == route)
-                    || shot.mayHaveRun() && (outlived(shot, now, terms) || grade.effect() == Effect.DEDUPLICATED
-                    && !grade.anyEndpointDeduplicates() && shot.call.route.zone != route.zone)) {
+                    || shot.mayHaveRun() && (outlived(shot, now, terms)
+                    || grade.effect() == Effect.DEDUPLICATED && !grade.anyEndpointDeduplicates()
+                    && shot.call.route.zone != route.zone)) {
                 return false;
             }
         }
@@ -82,8 +73,9 @@
             return time <= targetAt ? payoff : 0;
         }
         double late = time - targetAt;
-        return payoff * (halves ? Math.max(grade.lateShare(), Math.pow(0.5, late / Math.max(1, grade.target())))
-                : 1 - (1 - grade.lateShare()) * late / (abandonAt - targetAt));
+        double left = halves ? Math.max(grade.lateShare(), Math.pow(0.5, late / Math.max(1, grade.target())))
+                : 1 - (1 - grade.lateShare()) * late / (abandonAt - targetAt);
+        return payoff * left;
     }
 
     /** Rule 5: the records of one key, in the order in which they were taken. */
@@ -103,10 +95,40 @@
         }
 
         void shotEnded(Held record, Ending ending, long now, long rest) {
+            strays -= record.over ? 1 : 0;
             if (ending == Ending.TIMED_OUT || ending == Ending.RESET || ending == Ending.RECALLED) {
                 restUntil = now + rest + 1;
                 restsAfter = record;
             }
         }
     }
+
+    /** One call on an endpoint: a slot, and one fate for all records that it carries. */
+    static final class Call {
+        final Route route;
+        final long firedAt;
+        /** Records carried, and those without an outcome. */
+        int records, out;
+        boolean known;
+
+        Call(Route route, long firedAt) {
+            this.route = route;
+            this.firedAt = firedAt;
+        }
+    }
+
+    /** One shot for the record, as part of a call. */
+    static final class Shot {
+        final Call call;
+        Ending ending;
+        boolean recalled;
+
+        Shot(Call call) {
+            this.call = call;
+        }
+
+        boolean mayHaveRun() {
+            return ending == null || !ending.provesNotRun();
+        }
+    }
 }
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -2,6 +2,7 @@
 
 import terndyke.api.Ending;
 import terndyke.api.ListedEndpoint.Standing;
+import terndyke.decision.Held.Call;
 import terndyke.decision.RoutePicker.Fit;
 
 /** One endpoint of an addressee, with its last fifty outcomes, each dropped after a minute. */
@@ -21,12 +22,9 @@
     Call joinable;
     /** Rests after failures, so that one bad endpoint of several costs few shots. Hurts if all fail at once. */
     long restUntil;
-    private int failuresInRow;
-    private final long[] at = new long[KEPT];
-    private final long[] took = new long[KEPT];
+    private final long[] at = new long[KEPT], took = new long[KEPT];
     private final boolean[] done = new boolean[KEPT];
-    private int size;
-    private int next;
+    private int failuresInRow, size, next;
     private long oldest;
     private Fit fit;
 
--- a/src/main/java/terndyke/decision/RoutePicker.java
+++ b/src/main/java/terndyke/decision/RoutePicker.java
@@ -3,10 +3,8 @@
 import java.util.Arrays;
 import java.util.Comparator;
 
-/**
- * The paper's mechanism (HomoService), pure: of the routes' fits, the subset called together that maximises
- * (L + L-hat)/L x (T + T-hat)/T, with reliability at least R-hat and cost (one unit a call) within C-hat.
- */
+/** The paper's mechanism (HomoService), pure: of the routes' fits, the subset called together that maximises
+ * (L + L-hat)/L x (T + T-hat)/T, with reliability at least R-hat and cost (one unit a call) within C-hat. */
 final class RoutePicker {
     /** The tail T is the 95th percentile of the set's latency. */
     private static final double BEYOND_TAIL = 0.05;
