--- a/src/main/java/terndyke/decision/Addressee.java
+++ b/src/main/java/terndyke/decision/Addressee.java
@@ -1,14 +1,11 @@
 package terndyke.decision;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.*;
 
 /** All that one destination number stands for: its routes, and the records that wait for a shot. */
 final class Addressee {
     final List<Route> routes = new ArrayList<>(4);
-    final List<Held> waiting = new ArrayList<>();
-    /** The one limit of all routes where they are not apart; null otherwise. */
-    Destination shared;
+    final Set<Held> waiting = new LinkedHashSet<>();
     /** How many records one call may carry. */
     int perCall = 1;
     int callsOut;
--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -92,11 +92,8 @@
 
     /** May a call go now? Rules 4 and 6, and the learned pace. */
     boolean admits(long now) {
-        if (now < waitUntil) {
-            return false;
-        }
-        if (suspect() && cleanAt < 0) {
-            return trialDue(now) && (probeGood || !terms.probes());
+        if (now < waitUntil || suspect() && cleanAt < 0) {
+            return now >= waitUntil && trialDue(now) && (probeGood || !terms.probes());
         }
         double rate = Math.min(1e6, suspect() ? Math.min(pace, returnRate(now)) : pace);
         credit = Math.min(Math.max(1, rate / 2), credit + rate * (now - creditAt) / 1e6);
@@ -125,17 +122,16 @@
         return suspect() ? (int) Math.max(1, Math.min(most, cold)) : most;
     }
 
+    /** Counts a record that goes out with a call; unpaced calls leave no debt. */
     void fired(Call call, long now) {
-        out.add(call);
-        credit = Math.max(0, credit - 1); // unpaced calls leave no debt
-        if (suspect() && cleanAt < 0) {
-            trialAt = now;
-            probeGood = false;
+        if (call.records > 0) {
+            credit -= suspect() ? RECORD_IN_CALL : 0;
+            return;
         }
-    }
-
-    void joined() {
-        credit -= suspect() ? RECORD_IN_CALL : 0;
+        out.add(call);
+        credit = Math.max(0, credit - 1);
+        trialAt = now;
+        probeGood = false;
     }
 
     void probeEnded(long now, Ending ending, float[] report) {
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -17,15 +17,14 @@
  * room, here; (6) lines by key, in Held. */
 public final class Dispatcher {
     private static final double LEAST_RELIABILITY = 0.9;
-    /** Copies that each first shot earns. */
-    private static final double COPY_SHARE = 0.1;
+    private static final double COPY_SHARE = 0.1; // copies that each first shot earns
     private static final long STEP = 10_000;
     private static final long RETRY_REST = 50_000;
 
     private final DeliveryTerms terms;
     private final Map<Integer, Addressee> addressees = new LinkedHashMap<>();
     private final Map<Long, Route> routes = new LinkedHashMap<>();
-    private final List<Destination> destinations = new ArrayList<>();
+    private final Set<Destination> destinations = new LinkedHashSet<>();
     private final Map<Long, Held> held = new HashMap<>();
     private final Map<Long, Held.KeyLine> lines = new HashMap<>();
     private final TreeSet<Held> byEnd = new TreeSet<>(
@@ -75,8 +74,7 @@
             following = false;
         } else if (event instanceof Event.ProbeEnded probe && routes.containsKey(probe.endpoint())) {
             routes.get(probe.endpoint()).destination.probeEnded(now, probe.ending(), probe.report());
-        } else if (event instanceof Event.RecordWithdrawn gone && held.containsKey(gone.id())
-                && !held.get(gone.id()).over) {
+        } else if (event instanceof Event.RecordWithdrawn gone && held.containsKey(gone.id())) {
             over(held.get(gone.id()));
         }
     }
@@ -99,12 +97,9 @@
         int kind = entry.kind();
         addressee.perCall = kind < terms.recordsPerCall().size() ? terms.recordsPerCall().get(kind) : 1;
         boolean apart = kind < terms.routesApart().size() && terms.routesApart().get(kind);
-        Destination destination = addressee.shared;
-        if (apart || destination == null) {
-            destination = new Destination(terms, log);
-            destinations.add(destination);
-            addressee.shared = apart ? null : destination;
-        }
+        Destination destination = apart || addressee.routes.isEmpty() ? new Destination(terms, log)
+                : addressee.routes.get(0).destination;
+        destinations.add(destination);
         Route route = new Route(entry.endpoint(), entry.zone(), addressee, destination);
         addressee.routes.add(route);
         destination.routes.add(route);
@@ -116,13 +111,11 @@
         Addressee addressee = addressees.computeIfAbsent(taken.destination(), number -> new Addressee());
         double payoff = grade.payoff() * (withinShare(taken.tenant()) ? 1 : terms.overSharePayoff());
         Held.KeyLine line = grade.inOrder() && taken.key() != 0
-                ? lines.computeIfAbsent(taken.key(), key -> new Held.KeyLine()) : null;
+                ? lines.computeIfAbsent(taken.key(), key -> new Held.KeyLine()) : new Held.KeyLine();
         Held record = new Held(taken, now, grade, addressee, payoff, line);
         held.put(taken.id(), record);
         byEnd.add(record);
-        if (line != null) {
-            line.records.add(record);
-        }
+        line.records.add(record);
         queue(record, now);
         makeRoom();
     }
@@ -160,9 +153,7 @@
 
     private void queue(Held record, long notBefore) {
         record.notBefore = notBefore;
-        if (!record.waiting) {
-            record.waiting = record.addressee.waiting.add(record);
-        }
+        record.addressee.waiting.add(record);
     }
 
     /** The final answer, at once: a bounce where its promise holds, otherwise a termination. */
@@ -177,22 +168,18 @@
     }
 
     private void over(Held record) {
+        if (!byEnd.remove(record)) {
+            return;
+        }
         record.over = true;
-        record.waiting = false;
         record.addressee.waiting.remove(record);
-        byEnd.remove(record);
-        if (record.line != null) {
-            record.line.records.remove(record);
-            record.line.strays += record.shotsOut();
-        }
-        if (record.shotsOut() == 0) {
-            held.remove(record.id);
-        }
-        for (int i = 0; i < record.shots.size() && terms.recalls(); i++) {
-            if (record.shots.get(i).ending == null) {
+        for (int i = 0; i < record.shots.size(); i++) {
+            if (record.shots.get(i).ending == null && terms.recalls()) {
                 actions.add(new Action.Recall(record.id, i));
             }
         }
+        record.line.over(record);
+        forget(record);
     }
 
     private void shotEnded(Event.ShotEnded ended) {
@@ -203,13 +190,9 @@
         }
         shot.ending = ended.ending();
         callEnded(shot.call, ended);
-        if (record.line != null) {
-            record.line.shotEnded(record, ended.ending(), now, terms.keyRest());
-        }
+        record.line.shotEnded(record, ended.ending(), now, terms.keyRest());
         if (record.over) {
-            if (record.shotsOut() == 0) {
-                held.remove(record.id);
-            }
+            forget(record);
         } else if (ended.recordOver()) {
             over(record);
         } else if (now >= record.abandonAt - terms.turn() || record.hopeless(now, terms)) {
@@ -220,6 +203,12 @@
         }
     }
 
+    private void forget(Held record) {
+        if (record.shotsOut() == 0) {
+            held.remove(record.id);
+        }
+    }
+
     private void callEnded(Call call, Event.ShotEnded ended) {
         Route route = call.route;
         call.out--;
@@ -260,7 +249,7 @@
         for (Held record : new ArrayList<>(byEnd)) {
             if (record.hopeless(now, terms)) {
                 giveUp(record);
-            } else if (!record.waiting && record.shotsOut() == 1) {
+            } else if (record.shotsOut() == 1 && !record.addressee.waiting.contains(record)) {
                 lateShot(record);
             }
         }
@@ -300,51 +289,44 @@
             addressee.sick = addressee.sick(now);
             sickOut += addressee.sick ? addressee.callsOut : 0;
         }
-        List<Addressee> open = new ArrayList<>(addressees.values());
-        open.removeIf(addressee -> addressee.waiting.isEmpty());
-        open.forEach(this::findNext);
-        while (true) {
-            open.removeIf(addressee -> addressee.next == null);
-            if (open.isEmpty()) {
-                return;
-            }
-            Addressee first = open.get(0);
-            for (Addressee addressee : open) {
-                first = addressee.nextUrgency > first.nextUrgency ? addressee : first;
-            }
+        addressees.values().forEach(this::findNext);
+        for (Addressee first = dearest(); first.next != null; first = dearest()) {
             shoot(first.next);
             findNext(first);
         }
     }
 
+    private Addressee dearest() {
+        Addressee first = new Addressee();
+        for (Addressee addressee : addressees.values()) {
+            first = addressee.next != null && addressee.nextUrgency > first.nextUrgency ? addressee : first;
+        }
+        return first;
+    }
+
     /** Finds the addressee's dearest record that may be shot now. */
     private void findNext(Addressee addressee) {
         addressee.next = null;
-        List<Route> usable = addressee.routes.stream().filter(this::usable).toList();
-        if (usable.isEmpty()) {
-            return;
-        }
-        double most = -1;
+        List<Route> usable = addressee.waiting.isEmpty() ? List.of()
+                : addressee.routes.stream().filter(this::usable).toList();
+        double most = 0;
         for (Held record : addressee.waiting) {
             double urgency = urgency(record);
-            if (urgency > most && record.notBefore <= now
-                    && (record.line == null || record.line.hasTurn(record, now))
+            if (urgency > most && record.notBefore <= now && record.line.hasTurn(record, now)
                     && usable.stream().anyMatch(route -> record.permits(route, now, terms, null))) {
                 addressee.next = record;
                 most = urgency;
             }
         }
-        double expected = usable.stream().mapToDouble(route -> route.destination.expected(now)).min().getAsDouble();
+        double expected = usable.stream().mapToDouble(route -> route.destination.expected(now)).min().orElse(1);
         addressee.nextUrgency = most / expected; // payoff for each moment of a slot
     }
 
     private boolean usable(Route route) {
-        if (route.standing != Standing.READY || now < route.restUntil || joinable(route)) {
-            return route.standing == Standing.READY && joinable(route);
-        }
         boolean capped = route.addressee.sick && (2 * (route.addressee.callsOut + 1) > terms.slots()
                 || 2 * sickOut >= terms.slots() && !route.destination.suspect());
-        return slotsOut < terms.slots() && !capped && route.destination.admits(now);
+        return route.standing == Standing.READY && (joinable(route) || now >= route.restUntil && !capped
+                && slotsOut < terms.slots() && route.destination.admits(now));
     }
 
     private boolean joinable(Route route) {
@@ -377,7 +359,6 @@
                 }
             }
         }
-        record.waiting = false;
         record.addressee.waiting.remove(record);
     }
 
@@ -393,10 +374,8 @@
             slotsOut++;
             route.addressee.callsOut++;
             sickOut += route.addressee.sick ? 1 : 0;
-            route.destination.fired(route.joinable, now);
-        } else {
-            route.destination.joined();
         }
+        route.destination.fired(route.joinable, now);
         route.joinable.records++;
         route.joinable.out++;
         record.shots.add(new Shot(route.joinable));
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -15,7 +15,7 @@
     final double payoff;
     final KeyLine line;
     final List<Shot> shots = new ArrayList<>(2);
-    boolean over, waiting;
+    boolean over;
     long notBefore;
 
     Held(Event.RecordTaken taken, long now, ServiceGrade grade, Addressee addressee, double payoff, KeyLine line) {
@@ -69,20 +69,16 @@
 
     /** The payoff of an answer at that time. */
     double payoffAt(long time, boolean halves) {
-        if (time <= targetAt || time >= abandonAt) {
-            return time <= targetAt ? payoff : 0;
-        }
-        double late = time - targetAt;
+        double late = Math.max(0, time - targetAt);
         double left = halves ? Math.max(grade.lateShare(), Math.pow(0.5, late / Math.max(1, grade.target())))
-                : 1 - (1 - grade.lateShare()) * late / (abandonAt - targetAt);
-        return payoff * left;
+                : 1 - (1 - grade.lateShare()) * late / Math.max(1, abandonAt - targetAt);
+        return time < abandonAt ? payoff * left : 0;
     }
 
     /** Rule 5: the records of one key, in the order in which they were taken. */
     static final class KeyLine {
         final ArrayDeque<Held> records = new ArrayDeque<>();
-        /** Shots out for records that are over. */
-        int strays;
+        private int strays; // shots out for records that are over
         private long restUntil;
         private Held restsAfter;
 
@@ -94,6 +90,11 @@
             return records.isEmpty() && strays == 0 && now >= restUntil;
         }
 
+        void over(Held record) {
+            records.remove(record);
+            strays += record.shotsOut();
+        }
+
         void shotEnded(Held record, Ending ending, long now, long rest) {
             strays -= record.over ? 1 : 0;
             if (ending == Ending.TIMED_OUT || ending == Ending.RESET || ending == Ending.RECALLED) {
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -52,9 +52,7 @@
         if (fit == null || oldest < now - KEPT_FOR) {
             double least = Double.MAX_VALUE;
             double sum = 0;
-            int timed = 0;
-            int served = 0;
-            int kept = 0;
+            int timed = 0, served = 0, kept = 0;
             oldest = now;
             for (int i = 0; i < size; i++) {
                 if (at[i] >= now - KEPT_FOR) {
