--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -23,18 +23,16 @@
     double listedRate;
     private final DeliveryTerms terms;
     private final StringBuilder log;
-    private final List<Call> out = new ArrayList<>();
+    final List<Call> out = new ArrayList<>();
     /** Calls that ended well or badly, halved now and then. */
     private int fine, failed;
     /** Calls a second: the limit as reported, and what one span served at best and last. */
     private double limitTold, bestRate, lastRate;
-    private int doneInSpan;
-    private long spanEnd;
+    private int doneInSpan, refusedInRow;
+    private long spanEnd, refusedSince;
     /** The learned pace in calls a second, and what it allows at once. */
     private double pace = Double.POSITIVE_INFINITY, credit = 1;
     private long creditAt, paceCutAt;
-    private int refusedInRow;
-    private long refusedSince;
     /** When a call was last done or failed, an outage suspected, its end seen, a trial made; or -1. */
     private long okAt = -1, failedAt = -1, suspectAt = -1, cleanAt = -1, trialAt = -1;
     private boolean probeGood;
@@ -64,11 +62,6 @@
                 .min().orElse(OVERDUE_LEAST);
     }
 
-    /** True where a call fired then was lost to an outage that is over. */
-    boolean returnedSince(long firedAt) {
-        return cleanAt >= 0 && firedAt <= suspectAt;
-    }
-
     /** True where failures since the suspicion bear it out: what is out is most likely lost. */
     boolean confirmed() {
         return suspect() && failedAt >= suspectAt;
@@ -79,14 +72,14 @@
         return fit == null ? OVERDUE_UNKNOWN : (long) Math.max(OVERDUE_LEAST, fit.t() + 6 * fit.spread());
     }
 
-    /** Rule 4: this node's part of what a cold destination may get, in calls a second, growing as it warms. */
+    /** Rule 4: this node's part of what a cold destination may get, in calls a second, as it warms. */
     private double returnRate(long now) {
         double seen = bestRate * terms.nodes();
         double capacity = limitTold > 0 ? limitTold
                 : Math.max(listedRate / LISTED_HIGH, listedRate > 0 ? seen / 2 : seen);
         double warm = cleanAt < 0 ? 0 : Math.min(1, (double) (now - cleanAt) / terms.coldFor());
         double share = terms.coldShare() + (1 - terms.coldShare()) * warm;
-        double least = 1e6 / terms.fallSpan() / terms.coldShare(); // of the smallest: one call a span when cold
+        double least = 1e6 / terms.fallSpan() / terms.coldShare(); // one call a span while cold
         return share * Math.max(CAUTION * terms.fallMultiple() * capacity, least) / terms.nodes();
     }
 
@@ -143,7 +136,8 @@
     /** Rule 6: a wait told by any outcome binds all that follows. */
     void told(long now, long wait, float[] report) {
         waitUntil = Math.max(waitUntil, now + wait);
-        limitTold = terms.limitAt() >= 0 && terms.limitAt() < report.length ? report[terms.limitAt()] : limitTold;
+        boolean told = terms.limitAt() >= 0 && terms.limitAt() < report.length;
+        limitTold = told ? report[terms.limitAt()] : limitTold;
     }
 
     /** Takes in how a call ended. */
@@ -158,14 +152,11 @@
             failedAt = now;
             failed++;
             cleanAt = 2 * failed > fine ? -1 : cleanAt; // one bad endpoint does not undo the others' return
-            if (failed >= 2 && failed > fine) {
-                suspect(now, "failed " + failed + " of " + (failed + fine));
-            }
-        }
-        if (fine + failed > 12) {
-            fine /= 2;
-            failed /= 2;
+            suspect(now, "failed " + failed + " of " + (failed + fine), failed >= 2 && failed > fine);
         }
+        int part = fine + failed > 12 ? 2 : 1;
+        fine /= part;
+        failed /= part;
     }
 
     private void done(long now) {
@@ -195,11 +186,12 @@
 
     private void refused(long wait, long now) {
         refusedSince = refusedInRow++ == 0 ? now : refusedSince;
-        waitUntil = Math.max(waitUntil, now + (wait > 0 ? wait : FIRST_REST << Math.min(4, refusedInRow - 1)));
+        long rest = wait > 0 ? wait : FIRST_REST << Math.min(4, refusedInRow - 1);
+        waitUntil = Math.max(waitUntil, now + rest);
         if (wait > 2 * terms.fallSpan() || refusedInRow >= 4 && now - refusedSince >= 2 * terms.fallSpan()) {
-            failedAt = now;
             cleanAt = -1;
-            suspect(now, "refused " + refusedInRow + " in a row, wait " + wait / 1000 + " ms");
+            failedAt = now;
+            suspect(now, "refused " + refusedInRow + " in a row, wait " + wait / 1000 + " ms", true);
         } else if (now - paceCutAt >= 250_000) {
             double served = Math.max(lastRate, 1e6 * doneInSpan / terms.fallSpan());
             double known = Math.max(limitTold, listedRate / LISTED_HIGH) / terms.nodes();
@@ -208,7 +200,7 @@
         }
     }
 
-    /** Silence is noticed before any call times out: calls overdue with no answer since, far overdue ones twice. */
+    /** Silence is noticed before any call times out: calls overdue with no answer since, twice if far. */
     int overdue(long now) {
         int overdue = 0;
         for (Call call : out) {
@@ -218,19 +210,13 @@
         return overdue;
     }
 
-    boolean busy() {
-        return !out.isEmpty();
-    }
-
     void tick(long now, boolean allLate) {
         pace *= now - paceCutAt > 500_000 ? 1.002 : 1;
-        if (!allLate && overdue(now) >= 2) {
-            suspect(now, overdue(now) + " overdue");
-        }
+        suspect(now, "overdue " + overdue(now), !allLate && overdue(now) >= 2);
     }
 
-    private void suspect(long now, String why) {
-        if (!suspect()) {
+    private void suspect(long now, String why, boolean enough) {
+        if (enough && !suspect()) {
             suspectAt = now;
             cleanAt = -1;
             probeGood = false;
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -5,15 +5,16 @@
 import terndyke.api.*;
 import terndyke.api.ListedEndpoint.Standing;
 import terndyke.api.ServiceGrade.Effect;
+import terndyke.decision.Held.Addressee;
 import terndyke.decision.Held.Call;
 import terndyke.decision.Held.Shot;
 import terndyke.decision.RoutePicker.Fit;
 
 /** The decision module's one entry point: turn() takes what happened and returns what is to be done. Its
- * interface is the package terndyke.api; all decisions are in this package, and nothing here knows a protocol.
+ * interface is the package terndyke.api; all decisions are in this package, which knows no protocol.
  * The design (RoutePicker over Route's fits) decides where each record goes, and a sick destination holds
- * at most half of the slots. Beside it stand six mechanisms: (1) the pace learned from refusals, (2) suspicion
- * of an outage and the budgeted return, both in Destination; (3) late shots, (4) payoff order, (5) holding
+ * at most half of the slots. Beside it stand six mechanisms: (1) the pace learned from refusals, (2)
+ * suspicion of an outage and the budgeted return, both in Destination; (3) late shots, (4) payoff order, (5) holding
  * room, here; (6) lines by key, in Held. */
 public final class Dispatcher {
     private static final double LEAST_RELIABILITY = 0.9;
@@ -28,7 +29,7 @@
     private final Map<Long, Held> held = new HashMap<>();
     private final Map<Long, Held.KeyLine> lines = new HashMap<>();
     private final TreeSet<Held> byEnd = new TreeSet<>(
-            Comparator.comparingLong((Held record) -> record.abandonAt).thenComparingLong(record -> record.id));
+            Comparator.comparingLong((Held held) -> held.abandonAt).thenComparingLong(held -> held.id));
     private final StringBuilder log = new StringBuilder();
     private final double[] quotaLeft;
     private List<Action> actions;
@@ -121,31 +122,27 @@
     }
 
     private boolean withinShare(int tenant) {
-        if (tenant < 0 || tenant >= quotaLeft.length) {
-            return true;
-        }
         for (int i = 0; i < quotaLeft.length; i++) {
             double rate = terms.tenantQuotas().get(i) / terms.nodes();
             quotaLeft[i] = Math.min(2 * rate, quotaLeft[i] + rate * (now - quotaAt) / 1e6);
         }
         quotaAt = now;
-        return quotaLeft[tenant] >= 1 && quotaLeft[tenant]-- >= 1;
+        return tenant >= quotaLeft.length || quotaLeft[tenant] >= 1 && quotaLeft[tenant]-- >= 1;
     }
 
-    /** Holding room: before the door turns records away unseen, the longest queue hands back what can win least.
-     * Guards against a dead or slow destination filling the room; may hurt a large destination's passing clump. */
+    /** Holding room: before the door turns records away unseen, the longest queue hands back what can win
+     * least. Guards against a dead or slow destination filling the room; may hurt a passing clump. */
     private void makeRoom() {
         if (byEnd.size() < terms.holdingRoom() - 1) {
             return;
         }
         Held least = byEnd.stream().filter(record -> record.shotsOut() == 0 && record.mayBounce())
                 .min(Comparator.comparingInt((Held record) -> -record.addressee.waiting.size())
-                .thenComparingDouble(record -> record.payoffAt(now + 1_000_000, terms.payoffHalves()))).orElse(null);
+                .thenComparingDouble(record -> record.payoffAt(now + 1_000_000, terms.payoffHalves())))
+                .orElse(null);
         if (least != null) {
-            if (now - fullAt > 1_000_000) {
-                log.append("room full: ").append(least.addressee.waiting.size()).append(" of ").append(byEnd.size())
-                        .append(" wait for one destination, slots out ").append(slotsOut).append('\n');
-            }
+            log.append(now - fullAt < 1_000_000 ? "" : "room full: " + least.addressee.waiting.size() + " of "
+                    + byEnd.size() + " wait for one destination, slots out " + slotsOut + "\n");
             fullAt = now;
             giveUp(least);
         }
@@ -158,12 +155,9 @@
 
     /** The final answer, at once: a bounce where its promise holds, otherwise a termination. */
     private void giveUp(Held record) {
-        if (record.shotsOut() == 0 && record.mayBounce()) {
-            long stayAway = terms.bounceAdvice() ? Math.min(1_000_000, terms.longestAdvice()) : 0;
-            actions.add(new Action.Bounce(record.id, stayAway));
-        } else {
-            actions.add(new Action.Terminate(record.id));
-        }
+        long stayAway = terms.bounceAdvice() ? Math.min(1_000_000, terms.longestAdvice()) : 0;
+        actions.add(record.shotsOut() == 0 && record.mayBounce() ? new Action.Bounce(record.id, stayAway)
+                : new Action.Terminate(record.id));
         over(record);
     }
 
@@ -179,20 +173,21 @@
             }
         }
         record.line.over(record);
-        forget(record);
+        held.remove(record.id, record.shotsOut() == 0 ? record : null);
     }
 
     private void shotEnded(Event.ShotEnded ended) {
         Held record = held.get(ended.id());
-        Shot shot = record == null || ended.shot() >= record.shots.size() ? null : record.shots.get(ended.shot());
-        if (shot == null || shot.ending != null) {
+        if (record == null || ended.shot() >= record.shots.size()
+                || record.shots.get(ended.shot()).ending != null) {
             return;
         }
+        Shot shot = record.shots.get(ended.shot());
         shot.ending = ended.ending();
         callEnded(shot.call, ended);
         record.line.shotEnded(record, ended.ending(), now, terms.keyRest());
         if (record.over) {
-            forget(record);
+            held.remove(record.id, record.shotsOut() == 0 ? record : null);
         } else if (ended.recordOver()) {
             over(record);
         } else if (now >= record.abandonAt - terms.turn() || record.hopeless(now, terms)) {
@@ -203,12 +198,6 @@
         }
     }
 
-    private void forget(Held record) {
-        if (record.shotsOut() == 0) {
-            held.remove(record.id);
-        }
-    }
-
     private void callEnded(Call call, Event.ShotEnded ended) {
         Route route = call.route;
         call.out--;
@@ -227,7 +216,7 @@
         }
     }
 
-    /** Every few milliseconds: ends what is out of time, looks for silence, and takes up overdue shots again. */
+    /** Now and then: ends what is out of time, looks for silence, and takes up overdue shots again. */
     private void tick() {
         if (terms.listOnRequest() && !following) {
             following = true;
@@ -237,16 +226,16 @@
         while (!byEnd.isEmpty() && byEnd.first().abandonAt <= now + STEP + 2 * terms.turn()) {
             giveUp(byEnd.first());
         }
-        long busy = destinations.stream().filter(Destination::busy).count();
+        long busy = destinations.stream().filter(destination -> !destination.out.isEmpty()).count();
         long late = destinations.stream().filter(destination -> destination.overdue(now) > 0).count();
         for (Destination destination : destinations) {
-            destination.tick(now, late > 2 && 2 * late > busy); // slowness everywhere at once is nobody's fault
+            destination.tick(now, late > 2 && 2 * late > busy); // slow everywhere: nobody's fault
             Route route = destination.probe(now);
             if (route != null) {
                 actions.add(new Action.Probe(route.endpoint));
             }
         }
-        for (Held record : new ArrayList<>(byEnd)) {
+        for (Held record : List.copyOf(byEnd)) {
             if (record.hopeless(now, terms)) {
                 giveUp(record);
             } else if (record.shotsOut() == 1 && !record.addressee.waiting.contains(record)) {
@@ -255,8 +244,8 @@
         }
     }
 
-    /** A shot that is overdue, or lost to an outage that is over, is doubled, or recalled where copies are barred.
-     * Covers silence, slowness and lost calls alike; may hurt where a whole destination is slow but at work. */
+    /** An overdue shot is doubled, or recalled where copies are barred or the sick crowd the slots. Covers
+     * silence, slowness and lost calls alike; may hurt a destination that is slow but at work. */
     private void lateShot(Held record) {
         Shot shot = record.shots.stream().filter(s -> s.ending == null).findFirst().orElseThrow();
         Route route = shot.call.route;
@@ -266,10 +255,8 @@
         boolean elsewhere = record.addressee.routes.stream().anyMatch(other -> other != route
                 && other.standing == Standing.READY && !other.destination.sick(now)
                 && record.permits(other, now, terms, shot));
-        boolean lost = route.destination.returnedSince(shot.call.firedAt)
-                && record.permits(route, now, terms, shot);
         boolean crowded = 2 * sickOut >= terms.slots() && route.destination.confirmed();
-        if (terms.recalls() && (lost || crowded || !terms.copies() && elsewhere && route.destination.suspect())) {
+        if (terms.recalls() && (crowded || !terms.copies() && elsewhere && route.destination.suspect())) {
             shot.recalled = true;
             actions.add(new Action.Recall(record.id, record.shots.indexOf(shot)));
         } else if (terms.copies() && elsewhere && 4 * slotsOut < 3 * terms.slots() && copyCredit >= 1) {
@@ -290,36 +277,27 @@
             sickOut += addressee.sick ? addressee.callsOut : 0;
         }
         addressees.values().forEach(this::findNext);
-        for (Addressee first = dearest(); first.next != null; first = dearest()) {
-            shoot(first.next);
-            findNext(first);
+        for (Optional<Addressee> first = dearest(); first.isPresent(); first = dearest()) {
+            shoot(first.get().next);
+            findNext(first.get());
         }
     }
 
-    private Addressee dearest() {
-        Addressee first = new Addressee();
-        for (Addressee addressee : addressees.values()) {
-            first = addressee.next != null && addressee.nextUrgency > first.nextUrgency ? addressee : first;
-        }
-        return first;
+    private Optional<Addressee> dearest() {
+        return addressees.values().stream().filter(addressee -> addressee.next != null)
+                .max(Comparator.comparingDouble(addressee -> addressee.nextUrgency));
     }
 
-    /** Finds the addressee's dearest record that may be shot now. */
+    /** Finds the addressee's dearest record that may be shot now, and its payoff for each moment of a slot. */
     private void findNext(Addressee addressee) {
-        addressee.next = null;
         List<Route> usable = addressee.waiting.isEmpty() ? List.of()
                 : addressee.routes.stream().filter(this::usable).toList();
-        double most = 0;
-        for (Held record : addressee.waiting) {
-            double urgency = urgency(record);
-            if (urgency > most && record.notBefore <= now && record.line.hasTurn(record, now)
-                    && usable.stream().anyMatch(route -> record.permits(route, now, terms, null))) {
-                addressee.next = record;
-                most = urgency;
-            }
-        }
-        double expected = usable.stream().mapToDouble(route -> route.destination.expected(now)).min().orElse(1);
-        addressee.nextUrgency = most / expected; // payoff for each moment of a slot
+        addressee.next = usable.isEmpty() ? null : addressee.waiting.stream()
+                .filter(record -> record.notBefore <= now && record.line.hasTurn(record, now)
+                        && usable.stream().anyMatch(route -> record.permits(route, now, terms, null)))
+                .max(Comparator.comparingDouble(this::urgency)).orElse(null);
+        addressee.nextUrgency = addressee.next == null ? 0 : urgency(addressee.next)
+                / usable.stream().mapToDouble(route -> route.destination.expected(now)).min().orElse(1);
     }
 
     private boolean usable(Route route) {
@@ -349,8 +327,11 @@
             fire(record, fresh);
         } else {
             Fit[] fits = choice.stream().map(route -> route.fit(now)).toArray(Fit[]::new);
+            boolean pair = terms.copies() && !again && record.grade.effect() != Effect.UNREPEATABLE
+                    && record.addressee.perCall == 1 && 2 * slotsOut < terms.slots()
+                    && !record.addressee.sick && copyCredit >= 1;
             int set = RoutePicker.pick(fits, record.grade.target(), record.abandonAt - now, LEAST_RELIABILITY,
-                    again ? 1 : copyBudget(record));
+                    pair ? 2 : 1); // C-hat
             for (int i = 0; i < fits.length; i++) {
                 if ((set >> i & 1) != 0 && usable(choice.get(i))
                         && record.permits(choice.get(i), now, terms, null)) {
@@ -362,12 +343,6 @@
         record.addressee.waiting.remove(record);
     }
 
-    /** C-hat: a second call only where copies are allowed, slots are plentiful, and copies have been earned. */
-    private int copyBudget(Held record) {
-        return terms.copies() && record.grade.effect() != Effect.UNREPEATABLE && record.addressee.perCall == 1
-                && 2 * slotsOut < terms.slots() && !record.addressee.sick && copyCredit >= 1 ? 2 : 1;
-    }
-
     private void fire(Held record, Route route) {
         if (!joinable(route)) {
             route.joinable = new Call(route, now);
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -7,18 +7,17 @@
 
 /** A record that the node has taken, with its shots: what may still be done with it (rules 1, 2 and 5). */
 final class Held {
-    final long id;
+    final long id, targetAt, abandonAt;
     final ServiceGrade grade;
     final Addressee addressee;
-    final long targetAt;
-    final long abandonAt;
     final double payoff;
     final KeyLine line;
     final List<Shot> shots = new ArrayList<>(2);
     boolean over;
     long notBefore;
 
-    Held(Event.RecordTaken taken, long now, ServiceGrade grade, Addressee addressee, double payoff, KeyLine line) {
+    Held(Event.RecordTaken taken, long now, ServiceGrade grade, Addressee addressee, double payoff,
+            KeyLine line) {
         this.id = taken.id();
         this.grade = grade;
         this.addressee = addressee;
@@ -132,4 +131,22 @@
             return ending == null || !ending.provesNotRun();
         }
     }
+
+    /** All that one destination number stands for: its routes, and the records that wait for a shot. */
+    static final class Addressee {
+        final List<Route> routes = new ArrayList<>(4);
+        final Set<Held> waiting = new LinkedHashSet<>();
+        /** How many records one call may carry. */
+        int perCall = 1;
+        int callsOut;
+        /** The record to shoot next in this turn, and how dear it is. */
+        Held next;
+        double nextUrgency;
+        boolean sick;
+
+        /** The design's companion rule: calls mostly fail, time out or run far past what was usual. */
+        boolean sick(long now) {
+            return routes.stream().anyMatch(route -> route.destination.sick(now));
+        }
+    }
 }
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -3,6 +3,7 @@
 import terndyke.api.Ending;
 import terndyke.api.ListedEndpoint.Standing;
 import terndyke.decision.Held.Call;
+import terndyke.decision.Held.Addressee;
 import terndyke.decision.RoutePicker.Fit;
 
 /** One endpoint of an addressee, with its last fifty outcomes, each dropped after a minute. */
@@ -20,7 +21,7 @@
     int firsts;
     /** The call of the present turn, which further records may join. */
     Call joinable;
-    /** Rests after failures, so that one bad endpoint of several costs few shots. Hurts if all fail at once. */
+    /** Rests after failures, so that one bad endpoint of several costs few shots; hurts if all fail. */
     long restUntil;
     private final long[] at = new long[KEPT], took = new long[KEPT];
     private final boolean[] done = new boolean[KEPT];
@@ -37,8 +38,9 @@
 
     /** Keeps an outcome. Refusals and errors count against r alone: their haste says nothing of latency. */
     void learn(long now, Ending ending, long spent) {
+        boolean waited = ending == Ending.DONE || ending == Ending.TIMED_OUT || ending == Ending.RECALLED;
         at[next] = now;
-        took[next] = ending == Ending.DONE || ending == Ending.TIMED_OUT || ending == Ending.RECALLED ? spent : -1;
+        took[next] = waited ? spent : -1;
         done[next] = ending == Ending.DONE;
         next = (next + 1) % KEPT;
         size = Math.min(KEPT, size + 1);
--- a/src/main/java/terndyke/decision/RoutePicker.java
+++ b/src/main/java/terndyke/decision/RoutePicker.java
@@ -2,17 +2,17 @@
 
 import java.util.Arrays;
 import java.util.Comparator;
+import java.util.stream.IntStream;
 
 /** The paper's mechanism (HomoService), pure: of the routes' fits, the subset called together that maximises
  * (L + L-hat)/L x (T + T-hat)/T, with reliability at least R-hat and cost (one unit a call) within C-hat. */
 final class RoutePicker {
-    /** The tail T is the 95th percentile of the set's latency. */
-    private static final double BEYOND_TAIL = 0.05;
+    private static final double BEYOND_TAIL = 0.05; // T is the 95th percentile
     private static final double LEAST_SPREAD = 1_000;
 
     private RoutePicker() { }
 
-    /** A route's shifted exponential, F(x) = 1 - e^(-(x-t)/(m-t)) for x >= t, and the fraction r it served. */
+    /** A route's shifted exponential, F(x) = 1 - e^(-(x-t)/(m-t)) for x >= t, and its served fraction r. */
     record Fit(double t, double m, double r) {
         double spread() {
             return Math.max(LEAST_SPREAD, m - t);
@@ -26,10 +26,7 @@
     static Latency latency(Fit... set) {
         Fit[] fits = set.clone();
         Arrays.sort(fits, Comparator.comparingDouble(Fit::t));
-        double mean = fits[0].t();
-        double tail = -1;
-        double survival = 1;
-        double rate = 0;
+        double mean = fits[0].t(), tail = -1, survival = 1, rate = 0;
         for (int k = 0; k < fits.length; k++) {
             rate += 1 / fits[k].spread();
             double length = k + 1 < fits.length ? fits[k + 1].t() - fits[k].t() : Double.POSITIVE_INFINITY;
@@ -43,24 +40,19 @@
         return new Latency(mean, tail);
     }
 
-    /** The chosen subset as bits over the fits; where no set meets R-hat, the most reliable affordable one. */
+    /** The chosen subset as bits over the fits; if no set meets R-hat, the most reliable affordable one. */
     static int pick(Fit[] fits, double targetL, double targetT, double leastReliability, int budget) {
         int best = 0;
-        double bestReliability = -1;
-        double bestIndex = -1;
+        double bestReliability = -1, bestIndex = -1;
         for (int set = 1; set < 1 << fits.length; set++) {
-            Fit[] chosen = new Fit[Integer.bitCount(set)];
-            double lost = 1;
-            for (int i = 0, n = 0; i < fits.length; i++) {
-                if ((set >> i & 1) != 0) {
-                    chosen[n++] = fits[i];
-                    lost *= 1 - fits[i].r();
-                }
-            }
+            int members = set;
+            Fit[] chosen = IntStream.range(0, fits.length).filter(i -> (members >> i & 1) != 0)
+                    .mapToObj(i -> fits[i]).toArray(Fit[]::new);
+            double lost = Arrays.stream(chosen).mapToDouble(fit -> 1 - fit.r()).reduce(1, (a, b) -> a * b);
             if (chosen.length <= budget) {
                 Latency answer = latency(chosen);
                 double index = (1 + targetL / answer.mean()) * (1 + targetT / answer.tail());
-                double reliability = Math.min(1 - lost, leastReliability); // above R-hat, the index alone decides
+                double reliability = Math.min(1 - lost, leastReliability); // above R-hat the index decides
                 if (reliability > bestReliability || reliability == bestReliability && index > bestIndex) {
                     best = set;
                     bestReliability = reliability;
