--- a/src/main/java/terndyke/adapter/TermsReader.java
+++ b/src/main/java/terndyke/adapter/TermsReader.java
@@ -45,8 +45,8 @@
         List<String> reported = list("report.fields");
         return new DeliveryTerms(seed, whole("balancers"), whole("rank"), whole("zone"), whole("familyInfo.callsOut"),
                 whole("ceilings.maxOpen"), whole("ceilings.maxAttempts"), flag("ceilings.secondCopies"),
-                flag("ceilings.cancelling"), flag("ceilings.probes"), flag("ceilings.retryAfter"),
-                micros("ceilings.maxRetryAfter", 0), text("discovery").equals("ask"),
+                flag("ceilings.cancelling"), flag("ceilings.probes"),
+                flag("ceilings.retryAfter") ? micros("ceilings.maxRetryAfter", 0) : 0, text("discovery").equals("ask"),
                 micros("obligations.askEvery", 0), !text("weightSource").equals("off"),
                 has("familyInfo.late") && text("familyInfo.late").equals("by_half"), number("overShareWorth", 1),
                 grades, quotas, items("familyInfo.kindApart", Boolean::valueOf),
--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -24,8 +24,7 @@
     private final DeliveryTerms terms;
     private final StringBuilder log;
     final List<Call> out = new ArrayList<>();
-    /** Calls that ended well or badly, halved now and then. */
-    private int fine, failed;
+    private int fine, failed; // calls that ended well or badly, halved now and then
     /** Calls a second: the limit as reported, and what one span served at best and last. */
     private double limitTold, bestRate, lastRate;
     private int doneInSpan, refusedInRow;
@@ -62,11 +61,6 @@
                 .min().orElse(OVERDUE_LEAST);
     }
 
-    /** True where failures since the suspicion bear it out: what is out is most likely lost. */
-    boolean confirmed() {
-        return suspect() && failedAt >= suspectAt;
-    }
-
     /** How long a call may run before it is overdue. */
     static long overdueAfter(Fit fit) {
         return fit == null ? OVERDUE_UNKNOWN : (long) Math.max(OVERDUE_LEAST, fit.t() + 6 * fit.spread());
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -13,9 +13,9 @@
 /** The decision module's one entry point: turn() takes what happened and returns what is to be done. Its
  * interface is the package terndyke.api; all decisions are in this package, which knows no protocol.
  * The design (RoutePicker over Route's fits) decides where each record goes, and a sick destination holds
- * at most half of the slots. Beside it stand six mechanisms: (1) the pace learned from refusals, (2)
- * suspicion of an outage and the budgeted return, both in Destination; (3) late shots, (4) payoff order, (5) holding
- * room, here; (6) lines by key, in Held. */
+ * at most half of the slots. Beside it stand six mechanisms: (1) the pace learned from refusals and (2)
+ * suspicion of an outage with its budgeted return, in Destination; (3) late shots, (4) payoff order and
+ * (5) holding room, here; (6) lines by key, in Held. */
 public final class Dispatcher {
     private static final double LEAST_RELIABILITY = 0.9;
     private static final double COPY_SHARE = 0.1; // copies that each first shot earns
@@ -35,8 +35,7 @@
     private List<Action> actions;
     private long now, quotaAt, wakeAt, fullAt;
     private boolean following;
-    /** Calls out, in all and at sick destinations. */
-    private int slotsOut, sickOut;
+    private int slotsOut, sickOut; // calls out, in all and at sick destinations
     private double copyCredit;
 
     public Dispatcher(DeliveryTerms terms) {
@@ -133,10 +132,8 @@
     /** Holding room: before the door turns records away unseen, the longest queue hands back what can win
      * least. Guards against a dead or slow destination filling the room; may hurt a passing clump. */
     private void makeRoom() {
-        if (byEnd.size() < terms.holdingRoom() - 1) {
-            return;
-        }
-        Held least = byEnd.stream().filter(record -> record.shotsOut() == 0 && record.mayBounce())
+        Held least = byEnd.size() < terms.holdingRoom() - 1 ? null
+                : byEnd.stream().filter(record -> record.shotsOut() == 0 && record.mayBounce())
                 .min(Comparator.comparingInt((Held record) -> -record.addressee.waiting.size())
                 .thenComparingDouble(record -> record.payoffAt(now + 1_000_000, terms.payoffHalves())))
                 .orElse(null);
@@ -155,7 +152,7 @@
 
     /** The final answer, at once: a bounce where its promise holds, otherwise a termination. */
     private void giveUp(Held record) {
-        long stayAway = terms.bounceAdvice() ? Math.min(1_000_000, terms.longestAdvice()) : 0;
+        long stayAway = Math.min(1_000_000, terms.longestAdvice());
         actions.add(record.shotsOut() == 0 && record.mayBounce() ? new Action.Bounce(record.id, stayAway)
                 : new Action.Terminate(record.id));
         over(record);
@@ -167,11 +164,8 @@
         }
         record.over = true;
         record.addressee.waiting.remove(record);
-        for (int i = 0; i < record.shots.size(); i++) {
-            if (record.shots.get(i).ending == null && terms.recalls()) {
-                actions.add(new Action.Recall(record.id, i));
-            }
-        }
+        record.shots.stream().filter(shot -> shot.ending == null && terms.recalls())
+                .forEach(shot -> actions.add(new Action.Recall(record.id, record.shots.indexOf(shot))));
         record.line.over(record);
         held.remove(record.id, record.shotsOut() == 0 ? record : null);
     }
@@ -255,7 +249,7 @@
         boolean elsewhere = record.addressee.routes.stream().anyMatch(other -> other != route
                 && other.standing == Standing.READY && !other.destination.sick(now)
                 && record.permits(other, now, terms, shot));
-        boolean crowded = 2 * sickOut >= terms.slots() && route.destination.confirmed();
+        boolean crowded = 2 * sickOut >= terms.slots() && route.destination.suspect();
         if (terms.recalls() && (crowded || !terms.copies() && elsewhere && route.destination.suspect())) {
             shot.recalled = true;
             actions.add(new Action.Recall(record.id, record.shots.indexOf(shot)));
@@ -271,11 +265,9 @@
     }
 
     private void dispatch() {
-        sickOut = 0;
-        for (Addressee addressee : addressees.values()) {
-            addressee.sick = addressee.sick(now);
-            sickOut += addressee.sick ? addressee.callsOut : 0;
-        }
+        addressees.values().forEach(addressee -> addressee.sick =
+                addressee.routes.stream().anyMatch(route -> route.destination.sick(now)));
+        sickOut = addressees.values().stream().filter(a -> a.sick).mapToInt(a -> a.callsOut).sum();
         addressees.values().forEach(this::findNext);
         for (Optional<Addressee> first = dearest(); first.isPresent(); first = dearest()) {
             shoot(first.get().next);
@@ -288,7 +280,7 @@
                 .max(Comparator.comparingDouble(addressee -> addressee.nextUrgency));
     }
 
-    /** Finds the addressee's dearest record that may be shot now, and its payoff for each moment of a slot. */
+    /** Finds the addressee's dearest record that may go now, and its payoff for each moment of a slot. */
     private void findNext(Addressee addressee) {
         List<Route> usable = addressee.waiting.isEmpty() ? List.of()
                 : addressee.routes.stream().filter(this::usable).toList();
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -34,18 +34,10 @@
 
     /** Rule 2: may another shot go by this route now, once the given one out, if any, is recalled? */
     boolean permits(Route route, long now, DeliveryTerms terms, Shot recalled) {
-        if (over || shots.size() >= terms.shotsPerRecord()) {
-            return false;
-        }
-        for (Shot shot : shots) {
-            if (shot.ending == null && shot != recalled && (!terms.copies() || shot.call.route == route)
-                    || shot.mayHaveRun() && (outlived(shot, now, terms)
-                    || grade.effect() == Effect.DEDUPLICATED && !grade.anyEndpointDeduplicates()
-                    && shot.call.route.zone != route.zone)) {
-                return false;
-            }
-        }
-        return true;
+        return !over && shots.size() < terms.shotsPerRecord() && shots.stream().noneMatch(shot ->
+                shot.ending == null && shot != recalled && (!terms.copies() || shot.call.route == route)
+                || shot.mayHaveRun() && (outlived(shot, now, terms) || shot.call.route.zone != route.zone
+                && grade.effect() == Effect.DEDUPLICATED && !grade.anyEndpointDeduplicates()));
     }
 
     /** True where no repeat may follow this shot, which may have run. */
@@ -107,8 +99,7 @@
     static final class Call {
         final Route route;
         final long firedAt;
-        /** Records carried, and those without an outcome. */
-        int records, out;
+        int records, out; // records carried, and those without an outcome
         boolean known;
 
         Call(Route route, long firedAt) {
@@ -136,17 +127,10 @@
     static final class Addressee {
         final List<Route> routes = new ArrayList<>(4);
         final Set<Held> waiting = new LinkedHashSet<>();
-        /** How many records one call may carry. */
-        int perCall = 1;
+        int perCall = 1; // how many records one call may carry
         int callsOut;
-        /** The record to shoot next in this turn, and how dear it is. */
-        Held next;
+        Held next; // the record to shoot next in this turn, and how dear it is
         double nextUrgency;
         boolean sick;
-
-        /** The design's companion rule: calls mostly fail, time out or run far past what was usual. */
-        boolean sick(long now) {
-            return routes.stream().anyMatch(route -> route.destination.sick(now));
-        }
     }
 }
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -17,10 +17,8 @@
     final Addressee addressee;
     final Destination destination;
     Standing standing = Standing.READY;
-    /** First messages given to the route while it had no samples. */
-    int firsts;
-    /** The call of the present turn, which further records may join. */
-    Call joinable;
+    int firsts; // first messages given to the route while it had no samples
+    Call joinable; // the call of the present turn, which further records may join
     /** Rests after failures, so that one bad endpoint of several costs few shots; hurts if all fail. */
     long restUntil;
     private final long[] at = new long[KEPT], took = new long[KEPT];
--- a/src/main/java/terndyke/decision/RoutePicker.java
+++ b/src/main/java/terndyke/decision/RoutePicker.java
@@ -10,8 +10,6 @@
     private static final double BEYOND_TAIL = 0.05; // T is the 95th percentile
     private static final double LEAST_SPREAD = 1_000;
 
-    private RoutePicker() { }
-
     /** A route's shifted exponential, F(x) = 1 - e^(-(x-t)/(m-t)) for x >= t, and its served fraction r. */
     record Fit(double t, double m, double r) {
         double spread() {
