--- /dev/null
+++ b/src/test/java/terndyke/decision/DispatcherTest.java
@@ -0,0 +1,227 @@
+package terndyke.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static terndyke.decision.Given.START;
+import static terndyke.decision.Given.dispatcher;
+import static terndyke.decision.Given.ended;
+import static terndyke.decision.Given.listed;
+import static terndyke.decision.Given.only;
+import static terndyke.decision.Given.taken;
+import static terndyke.decision.Given.terms;
+import static terndyke.decision.Given.wakeUntil;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.LongStream;
+
+import org.junit.jupiter.api.Test;
+
+import terndyke.api.Action;
+import terndyke.api.Action.Bounce;
+import terndyke.api.Action.Probe;
+import terndyke.api.Action.Recall;
+import terndyke.api.Action.Shoot;
+import terndyke.api.Action.Terminate;
+import terndyke.api.Ending;
+import terndyke.api.Event;
+import terndyke.api.ListedEndpoint.Standing;
+
+class DispatcherTest {
+    private static List<Event> takenAll(int records, int grade) {
+        return LongStream.rangeClosed(1, records).mapToObj(id -> taken(id, grade)).toList();
+    }
+
+    @Test
+    void freshRoutesShareFirstRecordsInTurn() {
+        List<Action> actions = dispatcher(terms(true, true, 100), 0).turn(START, takenAll(4, Given.IDEMPOTENT));
+        assertEquals(List.of(11L, 12L, 11L, 12L), only(Shoot.class, actions).stream().map(Shoot::endpoint).toList());
+    }
+
+    @Test
+    void aRecordWhoseSlotWentToAnotherGoesOnWaiting() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        List<Event> events = new ArrayList<>(List.of(new Event.ListTold(
+                List.of(new terndyke.api.ListedEndpoint(21, 0, 0, 0, Standing.READY, 0, 2)), false)));
+        events.addAll(takenAll(8, Given.IDEMPOTENT));
+        events.add(new Event.RecordTaken(9, Given.IDEMPOTENT, 0, 0, 10_000_000, 0, 2, false, false, false));
+        Shoot first = only(Shoot.class, dispatcher.turn(START, events)).get(0);
+        List<Action> later = dispatcher.turn(START + 200_000, List.of(ended(first.id(), 0, first.endpoint(),
+                Ending.DONE, 0)));
+        assertEquals(1, only(Shoot.class, later).size());
+    }
+
+    @Test
+    void anUnansweredRecordEndsBeforeItsTime() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        dispatcher.turn(START, List.of(taken(1, Given.UNREPEATABLE)));
+        List<Action> actions = wakeUntil(dispatcher, START + 10_000, START + 10_000_000);
+        assertEquals(List.of(new Terminate(1)), only(Terminate.class, actions));
+        assertEquals(0, only(Shoot.class, actions).size());
+    }
+
+    @Test
+    void aRecordWithoutAnyEndpointIsBouncedBeforeItsTime() {
+        Dispatcher dispatcher = new Dispatcher(terms(true, true, 100));
+        dispatcher.turn(START, List.of(taken(1, Given.UNREPEATABLE)));
+        assertEquals(1, only(Bounce.class, wakeUntil(dispatcher, START + 10_000, START + 10_000_000)).size());
+    }
+
+    @Test
+    void anUnrepeatableRecordThatMayHaveRunIsTerminatedAtOnce() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        dispatcher.turn(START, List.of(taken(1, Given.UNREPEATABLE)));
+        List<Action> actions = dispatcher.turn(START + 200_000, List.of(ended(1, 0, 11, Ending.ERROR, 0)));
+        assertEquals(List.of(new Terminate(1)), only(Terminate.class, actions));
+    }
+
+    @Test
+    void anUnrepeatableRecordThatNeverRanIsShotAgain() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        dispatcher.turn(START, List.of(taken(1, Given.UNREPEATABLE)));
+        List<Action> actions = new ArrayList<>(dispatcher.turn(START + 200_000,
+                List.of(ended(1, 0, 11, Ending.NOT_CONNECTED, 0))));
+        actions.addAll(wakeUntil(dispatcher, START + 210_000, START + 500_000));
+        assertEquals(1, only(Shoot.class, actions).size());
+    }
+
+    @Test
+    void aDeduplicatedRecordThatMayHaveRunStaysInItsGroup() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        dispatcher.turn(START, List.of(taken(1, Given.DEDUPLICATED)));
+        dispatcher.turn(START + 200_000, List.of(ended(1, 0, 11, Ending.ERROR, 0)));
+        List<Action> actions = wakeUntil(dispatcher, START + 210_000, START + 2_000_000);
+        assertEquals(List.of(11L), only(Shoot.class, actions).stream().map(Shoot::endpoint).toList());
+        assertEquals(0, only(Bounce.class, actions).size());
+    }
+
+    @Test
+    void aDeduplicatedRecordIsTerminatedWhenItsWindowIsOver() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        dispatcher.turn(START, List.of(taken(1, Given.DEDUPLICATED)));
+        dispatcher.turn(START + 200_000, List.of(new Event.ListTold(List.of(listed(11, 0, 0, Standing.GONE)), false),
+                ended(1, 0, 11, Ending.TIMED_OUT, 0)));
+        assertEquals(List.of(new Terminate(1)),
+                only(Terminate.class, wakeUntil(dispatcher, START + 210_000, START + 4_000_000)));
+    }
+
+    @Test
+    void nothingIsShotBeforeAToldWaitIsOver() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        dispatcher.turn(START, List.of(taken(1, Given.IDEMPOTENT)));
+        dispatcher.turn(START + 200_000, List.of(ended(1, 0, 11, Ending.FULL, 700_000), taken(2, Given.IDEMPOTENT)));
+        assertEquals(0, only(Shoot.class, wakeUntil(dispatcher, START + 210_000, START + 899_000)).size());
+        assertFalse(only(Shoot.class, wakeUntil(dispatcher, START + 900_000, START + 950_000)).isEmpty());
+    }
+
+    @Test
+    void theLongestWaitOfOneCallBinds() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 1);
+        dispatcher.turn(START, List.of(new Event.ListTold(List.of(listed(12, 1, 1, Standing.GONE)), false),
+                taken(1, Given.IDEMPOTENT), taken(2, Given.IDEMPOTENT)));
+        dispatcher.turn(START + 200_000, List.of(ended(1, 0, 11, Ending.FULL, 300_000),
+                ended(2, 0, 11, Ending.FULL, 700_000)));
+        assertEquals(0, only(Shoot.class, wakeUntil(dispatcher, START + 210_000, START + 899_000)).size());
+    }
+
+    @Test
+    void recordsOfOneTurnShareACallAndASlot() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 1);
+        List<Action> actions = dispatcher.turn(START, takenAll(50, Given.IDEMPOTENT));
+        assertEquals(40, only(Shoot.class, actions).size());
+    }
+
+    @Test
+    void nothingNewGoesToADrainingEndpoint() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        dispatcher.turn(START, List.of(new Event.ListTold(List.of(listed(11, 0, 0, Standing.DRAINING)), false)));
+        List<Action> actions = dispatcher.turn(START + 5_000, takenAll(3, Given.IDEMPOTENT));
+        assertEquals(List.of(12L, 12L, 12L), only(Shoot.class, actions).stream().map(Shoot::endpoint).toList());
+    }
+
+    @Test
+    void anEndpointMissingFromAWholeListIsGone() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        List<Action> actions = dispatcher.turn(START, List.of(new Event.ListTold(
+                List.of(listed(12, 1, 0, Standing.READY)), true), taken(1, Given.IDEMPOTENT)));
+        assertEquals(List.of(12L), only(Shoot.class, actions).stream().map(Shoot::endpoint).toList());
+    }
+
+    @Test
+    void recordsOfOneKeyGoOneAtATimeAndRestAfterATimeOut() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        List<Action> first = dispatcher.turn(START, takenAll(2, Given.IN_ORDER));
+        assertEquals(List.of(1L), only(Shoot.class, first).stream().map(Shoot::id).toList());
+        dispatcher.turn(START + 100_000, List.of(new Event.RecordWithdrawn(1)));
+        assertEquals(0, only(Shoot.class, wakeUntil(dispatcher, START + 110_000, START + 190_000)).size());
+        dispatcher.turn(START + 200_000, List.of(ended(1, 0, 11, Ending.RECALLED, 0)));
+        assertEquals(0, only(Shoot.class, wakeUntil(dispatcher, START + 210_000, START + 290_000)).size());
+        assertEquals(1, only(Shoot.class, wakeUntil(dispatcher, START + 301_000, START + 320_000)).size());
+    }
+
+    @Test
+    void noCopyGoesSideBySideWhereCopiesAreBarred() {
+        Dispatcher dispatcher = dispatcher(terms(false, true, 100), 0);
+        dispatcher.turn(START, List.of(taken(1, Given.IDEMPOTENT)));
+        assertEquals(0, only(Shoot.class, wakeUntil(dispatcher, START + 10_000, START + 9_000_000)).size());
+    }
+
+    @Test
+    void silenceStopsShotsAndCallsForProbes() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        dispatcher.turn(START, takenAll(4, Given.IDEMPOTENT));
+        wakeUntil(dispatcher, START + 10_000, START + 3_000_000);
+        List<Action> actions = new ArrayList<>(dispatcher.turn(START + 3_010_000, List.of(taken(9, Given.IDEMPOTENT))));
+        actions.addAll(wakeUntil(dispatcher, START + 3_020_000, START + 7_000_000));
+        assertEquals(0, only(Shoot.class, actions).size());
+        assertTrue(only(Probe.class, actions).size() >= 1);
+    }
+
+    @Test
+    void aReturningDestinationGetsNoMoreThanItsBudget() {
+        Dispatcher dispatcher = dispatcher(terms(true, false, 100), 0);
+        dispatcher.turn(START, takenAll(4, Given.IDEMPOTENT));
+        dispatcher.turn(START + 100_000, List.of(ended(1, 0, 11, Ending.RESET, 0), ended(2, 0, 12, Ending.RESET, 0),
+                ended(3, 0, 11, Ending.RESET, 0), ended(4, 0, 12, Ending.RESET, 0)));
+        List<Action> actions = wakeUntil(dispatcher, START + 110_000, START + 4_100_000);
+        assertEquals(1, only(Shoot.class, actions).size()); // one call a span, in turn by two nodes
+    }
+
+    @Test
+    void aFullRoomHandsARecordBackBeforeTheDoorDoes() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 12), 0);
+        List<Action> actions = dispatcher.turn(START, takenAll(12, Given.UNREPEATABLE));
+        assertEquals(2, only(Bounce.class, actions).size());
+    }
+
+    @Test
+    void theOtherCopyIsRecalledWhenOneIsDone() {
+        Dispatcher dispatcher = dispatcher(terms(true, false, 100), 1);
+        for (int id = 1; id <= 20; id++) {
+            Shoot shoot = only(Shoot.class, dispatcher.turn(START, List.of(taken(id, Given.IDEMPOTENT)))).get(0);
+            dispatcher.turn(START, List.of(ended(id, 0, shoot.endpoint(), Ending.DONE, 0)));
+        }
+        dispatcher.turn(START + 1_000_000, List.of(taken(30, Given.IDEMPOTENT)));
+        List<Shoot> copies = only(Shoot.class, wakeUntil(dispatcher, START + 1_010_000, START + 3_000_000));
+        assertEquals(1, copies.size());
+        List<Action> actions = dispatcher.turn(START + 3_100_000, List.of(ended(30, 1, copies.get(0).endpoint(),
+                Ending.DONE, 0)));
+        assertEquals(List.of(new Recall(30, 0)), only(Recall.class, actions));
+    }
+
+    @Test
+    void outcomesOfUnknownRecordsAndShotsArePassedOver() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        List<Action> actions = dispatcher.turn(START, List.of(ended(5, 0, 11, Ending.DONE, 0),
+                new Event.RecordWithdrawn(5), new Event.ListFailed(), new Event.NoteReceived(1, new byte[0]),
+                new Event.ProbeEnded(99, Ending.DONE, 1, Given.NO_REPORT)));
+        assertEquals(List.of(), actions);
+    }
+
+    @Test
+    void sameEventsGiveSameActions() {
+        assertEquals(dispatcher(terms(true, true, 100), 0).turn(START, takenAll(40, Given.DEDUPLICATED)),
+                dispatcher(terms(true, true, 100), 0).turn(START, takenAll(40, Given.DEDUPLICATED)));
+    }
+}
--- /dev/null
+++ b/src/test/java/terndyke/decision/RoutePickerTest.java
@@ -0,0 +1,68 @@
+package terndyke.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+import terndyke.decision.RoutePicker.Fit;
+
+class RoutePickerTest {
+    private static final double LN20 = Math.log(20);
+
+    @Test
+    void oneRouteHasItsOwnMeanAndTail() {
+        RoutePicker.Latency answer = RoutePicker.latency(new Fit(100_000, 300_000, 1));
+        assertEquals(300_000, answer.mean(), 1e-6);
+        assertEquals(100_000 + 200_000 * LN20, answer.tail(), 1e-6);
+    }
+
+    @Test
+    void equalMinimaAddTheirRates() {
+        RoutePicker.Latency answer = RoutePicker.latency(new Fit(100_000, 300_000, 1), new Fit(100_000, 300_000, 1));
+        assertEquals(200_000, answer.mean(), 1e-6);
+        assertEquals(100_000 + 100_000 * LN20, answer.tail(), 1e-6);
+    }
+
+    @Test
+    void aLaterMinimumJoinsWhereItStarts() {
+        RoutePicker.Latency answer = RoutePicker.latency(new Fit(300_000, 400_000, 1), new Fit(100_000, 300_000, 1));
+        double left = Math.exp(-1);
+        assertEquals(100_000 + 200_000 * (1 - left) + left / (1 / 200_000.0 + 1 / 100_000.0), answer.mean(), 1e-6);
+        assertEquals(300_000 + Math.log(left * 20) / (1 / 200_000.0 + 1 / 100_000.0), answer.tail(), 1e-6);
+    }
+
+    @Test
+    void spreadIsAtLeastAMillisecond() {
+        assertEquals(101_000, RoutePicker.latency(new Fit(100_000, 100_000, 1)).mean(), 1e-6);
+    }
+
+    @Test
+    void theFasterRouteIsPickedWithinABudgetOfOne() {
+        Fit[] fits = {new Fit(100_000, 300_000, 1), new Fit(50_000, 150_000, 1)};
+        assertEquals(0b10, RoutePicker.pick(fits, 1e6, 1e7, 0.9, 1));
+    }
+
+    @Test
+    void bothArePickedWhereTheBudgetAllows() {
+        Fit[] fits = {new Fit(100_000, 300_000, 1), new Fit(50_000, 150_000, 1)};
+        assertEquals(0b11, RoutePicker.pick(fits, 1e6, 1e7, 0.9, 2));
+    }
+
+    @Test
+    void theFasterRouteIsPassedOverBelowTheLeastReliability() {
+        Fit[] fits = {new Fit(100_000, 300_000, 0.95), new Fit(50_000, 150_000, 0.5)};
+        assertEquals(0b01, RoutePicker.pick(fits, 1e6, 1e7, 0.9, 1));
+    }
+
+    @Test
+    void theMostReliableSetIsTakenWhereNoneIsReliableEnough() {
+        Fit[] fits = {new Fit(50_000, 150_000, 0.3), new Fit(100_000, 300_000, 0.6)};
+        assertEquals(0b10, RoutePicker.pick(fits, 1e6, 1e7, 0.9, 1));
+    }
+
+    @Test
+    void tiesOfReliabilityGoToTheIndex() {
+        Fit[] fits = {new Fit(100_000, 300_000, 0.5), new Fit(50_000, 150_000, 0.5)};
+        assertEquals(0b10, RoutePicker.pick(fits, 1e6, 1e7, 0.9, 1));
+    }
+}
