Three failures in a row make a destination suspect, whatever its past

Cause: a node whose last outcomes had been good needed as many failures again before it suspected an outage; its resting routes brought them too slowly, and its backlog then went out at full rate. Also covers: resets and errors at quiet nodes. May hurt a destination that fails a third of its calls.

--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -27,7 +27,7 @@
     private int fine, failed; // calls that ended well or badly, halved now and then
     /** Calls a second: the limit as reported, and what one span served at best and last. */
     private double limitTold, bestRate, lastRate;
-    private int doneInSpan, refusedInRow;
+    private int doneInSpan, refusedInRow, failedInRow;
     private long spanEnd, refusedSince;
     /** The learned pace in calls a second, and what it allows at once. */
     private double pace = Double.POSITIVE_INFINITY, credit = 1;
@@ -146,7 +146,9 @@
             failedAt = now;
             failed++;
             cleanAt = 2 * failed > fine ? -1 : cleanAt; // one bad endpoint does not undo the others' return
-            suspect(now, "failed " + failed + " of " + (failed + fine), failed >= 2 && failed > fine);
+            suspect(now, "failed " + failed + " of " + (failed + fine),
+                    ++failedInRow >= 3 || // a good past proves nothing (a quiet node's return was pushed over)
+                    failed >= 2 && failed > fine);
         }
         int part = fine + failed > 12 ? 2 : 1;
         fine /= part;
@@ -154,7 +156,7 @@
     }
 
     private void done(long now) {
-        refusedInRow = 0;
+        refusedInRow = failedInRow = 0;
         okAt = now;
         fine++;
         if (now >= spanEnd) {
--- a/src/test/java/terndyke/decision/DispatcherTest.java
+++ b/src/test/java/terndyke/decision/DispatcherTest.java
@@ -188,6 +188,20 @@
         assertEquals(1, only(Shoot.class, actions).size()); // one call a span, in turn by two nodes
     }
 
+    @Test
+    void failuresInARowOutweighAGoodPast() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        dispatcher.turn(START, takenAll(8, Given.IDEMPOTENT));
+        for (int id = 1; id <= 5; id++) {
+            dispatcher.turn(START, List.of(ended(id, 0, 11, Ending.DONE, 0)));
+        }
+        dispatcher.turn(START, List.of(ended(6, 0, 11, Ending.NOT_CONNECTED, 0),
+                ended(7, 0, 11, Ending.NOT_CONNECTED, 0), ended(8, 0, 11, Ending.NOT_CONNECTED, 0)));
+        List<Action> actions = wakeUntil(dispatcher, START + 10_000, START + 4_010_000);
+        assertEquals(0, only(Shoot.class, actions).size());
+        assertFalse(only(Probe.class, actions).isEmpty());
+    }
+
     @Test
     void aFullRoomHandsARecordBackBeforeTheDoorDoes() {
         Dispatcher dispatcher = dispatcher(terms(true, true, 12), 0);
