--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -147,7 +147,7 @@
             failed++;
             cleanAt = 2 * failed > fine ? -1 : cleanAt; // one bad endpoint does not undo the others' return
             suspect(now, "failed " + failed + " of " + (failed + fine),
-                    ++failedInRow >= 3 || // a good past proves nothing (a quiet node's return was pushed over)
+                    ++failedInRow >= 3 && now - okAt > terms.fallSpan() / 2 || // a good past proves little
                     failed >= 2 && failed > fine);
         }
         int part = fine + failed > 12 ? 2 : 1;
