--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -184,7 +184,7 @@
         refusedSince = refusedInRow++ == 0 ? now : refusedSince;
         long rest = wait > 0 ? wait : FIRST_REST << Math.min(4, refusedInRow - 1);
         waitUntil = Math.max(waitUntil, now + rest);
-        if (wait > 2 * terms.fallSpan() || refusedInRow >= 6 && now - refusedSince >= 2 * terms.fallSpan()) {
+        if (wait > 2 * terms.fallSpan() || refusedInRow >= 4 && now - refusedSince >= 2 * terms.fallSpan()) {
             cleanAt = -1;
             failedAt = now;
             suspect(now, "refused " + refusedInRow + " in a row, wait " + wait / 1000 + " ms", true);
