--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -33,7 +33,7 @@
     private double pace = Double.POSITIVE_INFINITY, credit = 1;
     private long creditAt, paceCutAt;
     /** When a call was last done or failed, an outage suspected, its end seen, a trial made; or -1. */
-    long okAt = -1, failedAt = -1, suspectAt = -1, cleanAt = -1, trialAt = -1;
+    private long okAt = -1, failedAt = -1, suspectAt = -1, cleanAt = -1, trialAt = -1;
     private boolean probeGood;
     long waitUntil;
 
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -249,8 +249,7 @@
         boolean elsewhere = record.addressee.routes.stream().anyMatch(other -> other != route
                 && other.standing == Standing.READY && !other.destination.sick(now)
                 && record.permits(other, now, terms, shot));
-        boolean crowded = 2 * sickOut >= terms.slots() && route.destination.suspect()
-                && route.destination.failedAt >= route.destination.suspectAt; // slow ones pass their probes
+        boolean crowded = 2 * sickOut >= terms.slots() && route.destination.suspect();
         if (terms.recalls() && (crowded || !terms.copies() && elsewhere && route.destination.suspect())) {
             shot.recalled = true;
             actions.add(new Action.Recall(record.id, record.shots.indexOf(shot)));
