The joint cap binds sick routes only

Cause: one silent route made a whole addressee sick, and its healthy route fell under the cap that calls to silent routes had filled. Also covers any partial outage of routes apart. May hurt where the healthy route hides that the other is dead.

--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -267,7 +267,7 @@
     private void dispatch() {
         addressees.values().forEach(addressee -> addressee.sick =
                 addressee.routes.stream().anyMatch(route -> route.destination.sick(now)));
-        sickOut = addressees.values().stream().filter(a -> a.sick).mapToInt(a -> a.callsOut).sum();
+        sickOut = destinations.stream().filter(d -> d.sick(now)).mapToInt(d -> d.out.size()).sum();
         addressees.values().forEach(this::findNext);
         for (Optional<Addressee> first = dearest(); first.isPresent(); first = dearest()) {
             shoot(first.get().next);
@@ -293,10 +293,11 @@
     }
 
     private boolean usable(Route route) {
-        boolean capped = route.addressee.sick && (2 * (route.addressee.callsOut + 1) > terms.slots()
-                || 2 * sickOut >= terms.slots() && !route.destination.suspect());
+        Destination destination = route.destination;
+        boolean capped = route.addressee.sick && 2 * (route.addressee.callsOut + 1) > terms.slots()
+                || 2 * sickOut >= terms.slots() && destination.sick(now) && !destination.suspect();
         return route.standing == Standing.READY && (joinable(route) || now >= route.restUntil && !capped
-                && slotsOut < terms.slots() && route.destination.admits(now));
+                && slotsOut < terms.slots() && destination.admits(now));
     }
 
     private boolean joinable(Route route) {
@@ -340,7 +341,7 @@
             route.joinable = new Call(route, now);
             slotsOut++;
             route.addressee.callsOut++;
-            sickOut += route.addressee.sick ? 1 : 0;
+            sickOut += route.destination.sick(now) ? 1 : 0;
         }
         route.destination.fired(route.joinable, now);
         route.joinable.records++;
