--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -63,7 +63,7 @@
 
     /** How long a call may run before it is overdue. */
     static long overdueAfter(Fit fit) {
-        return fit == null ? OVERDUE_UNKNOWN : (long) Math.max(OVERDUE_LEAST, fit.t() + 13 * fit.spread());
+        return fit == null ? OVERDUE_UNKNOWN : (long) Math.max(OVERDUE_LEAST, fit.t() + 9 * fit.spread());
     }
 
     /** Rule 4: this node's part of what a cold destination may get, in calls a second, as it warms. */
