--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -2,8 +2,7 @@
 
 import java.util.*;
 
-import terndyke.api.DeliveryTerms;
-import terndyke.api.Ending;
+import terndyke.api.*;
 import terndyke.api.ListedEndpoint.Standing;
 import terndyke.decision.Held.Call;
 import terndyke.decision.RoutePicker.Fit;
@@ -16,7 +15,7 @@
     private static final double RECORD_IN_CALL = 0.25; // what a further record adds to a call's weight
     private static final long OVERDUE_LEAST = 400_000;
     private static final long OVERDUE_UNKNOWN = 2_000_000;
-    private static final long FIRST_REST = 100_000;
+    static final long FIRST_REST = 100_000;
     private static final int FAR = 3; // latency of so many times the usual is far past it
 
     final List<Route> routes = new ArrayList<>();
@@ -31,7 +30,7 @@
     private long spanEnd, refusedSince;
     /** The learned pace in calls a second, and what it allows at once. */
     private double pace = Double.POSITIVE_INFINITY, credit = 1;
-    private long creditAt, paceCutAt;
+    private long creditAt, paceAt;
     /** When a call was last done or failed, an outage suspected, its end seen, a trial made; or -1. */
     private long okAt = -1, failedAt = -1, suspectAt = -1, cleanAt = -1, trialAt = -1;
     private boolean probeGood;
@@ -77,12 +76,19 @@
         return share * Math.max(CAUTION * terms.fallMultiple() * capacity, least) / terms.nodes();
     }
 
+    /** The learned pace, which grows by a fifth a second from half a second after a cut. */
+    private double pace(long now) {
+        pace *= Math.exp(0.2 * Math.max(0, now - paceAt) / 1e6);
+        paceAt = Math.max(now, paceAt);
+        return pace;
+    }
+
     /** May a call go now? Rules 4 and 6, and the learned pace. */
     boolean admits(long now) {
         if (now < waitUntil || suspect() && cleanAt < 0) {
             return now >= waitUntil && trialDue(now) && (probeGood || !terms.probes());
         }
-        double rate = Math.min(1e6, suspect() ? Math.min(pace, returnRate(now)) : pace);
+        double rate = Math.min(1e6, suspect() ? Math.min(pace(now), returnRate(now)) : pace(now));
         credit = Math.min(Math.max(1, rate / 2), credit + rate * (now - creditAt) / 1e6);
         creditAt = now;
         return credit >= 1;
@@ -168,7 +174,6 @@
         doneInSpan++;
         if (suspect() && cleanAt < 0) {
             cleanAt = now;
-            fine = 1;
             failed = 0;
             credit = 0;
             creditAt = now;
@@ -188,11 +193,11 @@
             cleanAt = -1;
             failedAt = now;
             suspect(now, "refused " + refusedInRow + " in a row, wait " + wait / 1000 + " ms", true);
-        } else if (now - paceCutAt >= 250_000) {
+        } else if (now >= paceAt - 250_000) {
             double served = Math.max(lastRate, 1e6 * doneInSpan / terms.fallSpan());
             double known = Math.max(limitTold, listedRate / LISTED_HIGH) / terms.nodes();
-            pace = Math.max(0.5, 0.85 * Math.min(pace, Math.max(served, 1.2 * known)));
-            paceCutAt = now;
+            pace = Math.max(0.5, 0.85 * Math.min(pace(now), Math.max(served, 1.2 * known)));
+            paceAt = now + 500_000;
         }
     }
 
@@ -207,7 +212,6 @@
     }
 
     void tick(long now, boolean allLate) {
-        pace *= now - paceCutAt > 500_000 ? 1.002 : 1;
         suspect(now, "overdue " + overdue(now), !allLate && overdue(now) >= 2);
     }
 
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -5,9 +5,7 @@
 import terndyke.api.*;
 import terndyke.api.ListedEndpoint.Standing;
 import terndyke.api.ServiceGrade.Effect;
-import terndyke.decision.Held.Addressee;
-import terndyke.decision.Held.Call;
-import terndyke.decision.Held.Shot;
+import terndyke.decision.Held.*;
 import terndyke.decision.RoutePicker.Fit;
 
 /** The decision module's one entry point: turn() takes what happened and returns what is to be done. Its
@@ -25,7 +23,8 @@
     private final DeliveryTerms terms;
     private final Map<Integer, Addressee> addressees = new LinkedHashMap<>();
     private final Map<Long, Route> routes = new LinkedHashMap<>();
-    private final Set<Destination> destinations = new LinkedHashSet<>();
+    private final Set<Destination> busy = new LinkedHashSet<>(); // with calls out, or suspect
+    private final Set<Addressee> queued = new LinkedHashSet<>(); // with records that wait
     private final Map<Long, Held> held = new HashMap<>();
     private final Map<Long, Held.KeyLine> lines = new HashMap<>();
     private final TreeSet<Held> byEnd = new TreeSet<>(
@@ -99,7 +98,6 @@
         boolean apart = kind < terms.routesApart().size() && terms.routesApart().get(kind);
         Destination destination = apart || addressee.routes.isEmpty() ? new Destination(terms, log)
                 : addressee.routes.get(0).destination;
-        destinations.add(destination);
         Route route = new Route(entry.endpoint(), entry.zone(), addressee, destination);
         addressee.routes.add(route);
         destination.routes.add(route);
@@ -148,6 +146,7 @@
     private void queue(Held record, long notBefore) {
         record.notBefore = notBefore;
         record.addressee.waiting.add(record);
+        queued.add(record.addressee);
     }
 
     /** The final answer, at once: a bounce where its promise holds, otherwise a termination. */
@@ -203,6 +202,7 @@
                 route.learn(now, ended.ending(), ended.spent());
             }
             route.destination.ended(call, ended.ending(), ended.waitTold(), now);
+            busy.add(route.destination);
         }
         if (call.out == 0) {
             slotsOut--;
@@ -220,10 +220,11 @@
         while (!byEnd.isEmpty() && byEnd.first().abandonAt <= now + STEP + 2 * terms.turn()) {
             giveUp(byEnd.first());
         }
-        long busy = destinations.stream().filter(destination -> !destination.out.isEmpty()).count();
-        long late = destinations.stream().filter(destination -> destination.overdue(now) > 0).count();
-        for (Destination destination : destinations) {
-            destination.tick(now, late > 2 && 2 * late > busy); // slow everywhere: nobody's fault
+        busy.removeIf(destination -> destination.out.isEmpty() && !destination.suspect());
+        long out = busy.stream().filter(destination -> !destination.out.isEmpty()).count();
+        long late = busy.stream().filter(destination -> destination.overdue(now) > 0).count();
+        for (Destination destination : busy) {
+            destination.tick(now, late > 2 && 2 * late > out); // slow everywhere: nobody's fault
             Route route = destination.probe(now);
             if (route != null) {
                 actions.add(new Action.Probe(route.endpoint));
@@ -265,10 +266,9 @@
     }
 
     private void dispatch() {
-        addressees.values().forEach(addressee -> addressee.sick =
-                addressee.routes.stream().anyMatch(route -> route.destination.sick(now)));
-        sickOut = destinations.stream().filter(d -> d.sick(now)).mapToInt(d -> d.out.size()).sum();
-        addressees.values().forEach(this::findNext);
+        queued.removeIf(addressee -> addressee.waiting.isEmpty());
+        sickOut = busy.stream().filter(d -> d.sick(now)).mapToInt(d -> d.out.size()).sum();
+        queued.forEach(this::findNext);
         for (Optional<Addressee> first = dearest(); first.isPresent(); first = dearest()) {
             shoot(first.get().next);
             findNext(first.get());
@@ -276,12 +276,13 @@
     }
 
     private Optional<Addressee> dearest() {
-        return addressees.values().stream().filter(addressee -> addressee.next != null)
+        return queued.stream().filter(addressee -> addressee.next != null)
                 .max(Comparator.comparingDouble(addressee -> addressee.nextUrgency));
     }
 
     /** Finds the addressee's dearest record that may go now, and its payoff for each moment of a slot. */
     private void findNext(Addressee addressee) {
+        addressee.sick = addressee.routes.stream().anyMatch(route -> route.destination.sick(now));
         List<Route> usable = addressee.waiting.isEmpty() ? List.of()
                 : addressee.routes.stream().filter(this::usable).toList();
         addressee.next = usable.isEmpty() ? null : addressee.waiting.stream()
@@ -344,6 +345,7 @@
             sickOut += route.destination.sick(now) ? 1 : 0;
         }
         route.destination.fired(route.joinable, now);
+        busy.add(route.destination);
         route.joinable.records++;
         route.joinable.out++;
         record.shots.add(new Shot(route.joinable));
--- a/src/main/java/terndyke/decision/RoutePicker.java
+++ b/src/main/java/terndyke/decision/RoutePicker.java
@@ -1,7 +1,6 @@
 package terndyke.decision;
 
-import java.util.Arrays;
-import java.util.Comparator;
+import java.util.*;
 import java.util.stream.IntStream;
 
 /** The paper's mechanism (HomoService), pure: of the routes' fits, the subset called together that maximises
