--- a/src/main/java/terndyke/adapter/TermsReader.java
+++ b/src/main/java/terndyke/adapter/TermsReader.java
@@ -53,7 +53,8 @@
                 items("familyInfo.perCall", Integer::valueOf), reported.indexOf("x0"), reported.indexOf("x1"),
                 micros("obligations.stopSendingWithin"), number("obligations.fallMultiple"),
                 micros("obligations.overloadFor"), number("obligations.coldShare"), micros("obligations.cold"),
-                micros("obligations.keyQuiet", 0), micros("obligations.answerSlack"), micros("resolution"));
+                micros("obligations.keyQuiet", 0), micros("obligations.answerSlack"), micros("resolution"),
+                micros("ceilings.connIdle", 0));
     }
 
     private ServiceGrade grade(String at) throws WireException {
--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -5,38 +5,32 @@
 import terndyke.api.*;
 import terndyke.api.ListedEndpoint.Standing;
 import terndyke.decision.Held.Call;
-import terndyke.decision.RoutePicker.Fit;
 
 /** What limits, waits, falls and returns as one: a route where routes are apart, else a whole destination. */
 final class Destination {
-    /** Share of the budget for a cold destination that all nodes together use. */
-    private static final double CAUTION = 0.9;
+    private static final double CAUTION = 0.9; // how much of a cold destination's budget all nodes use together
     private static final double LISTED_HIGH = 1.5; // a listed rate may be half too high
-    private static final double RECORD_IN_CALL = 0.25; // what a further record adds to a call's weight
-    private static final long OVERDUE_LEAST = 400_000;
-    private static final long OVERDUE_UNKNOWN = 2_000_000;
-    static final long FIRST_REST = 100_000;
-    private static final int FAR = 3; // latency of so many times the usual is far past it
+    private static final long REST_A_NODE = 50_000;
 
     final List<Route> routes = new ArrayList<>();
     double listedRate;
     private final DeliveryTerms terms;
+    private final Random chance;
     private final StringBuilder log;
     final List<Call> out = new ArrayList<>();
-    private int fine, failed; // calls that ended well or badly, halved now and then
-    /** Calls a second: the limit as reported, and what one span served at best and last. */
-    private double limitTold, bestRate, lastRate;
-    private int doneInSpan, refusedInRow, failedInRow;
-    private long spanEnd, refusedSince;
+    private int fine, failed, refusedInRow, failedInRow; // calls that ended so; the first two halved now and then
+    private double limitTold; // calls a second, as reported
+    private double served, best; // calls done in about one span: now, and surely at best
     /** The learned pace in calls a second, and what it allows at once. */
     private double pace = Double.POSITIVE_INFINITY, credit = 1;
     private long creditAt, paceAt;
-    /** When a call was last done or failed, an outage suspected, its end seen, a trial made; or -1. */
-    private long okAt = -1, failedAt = -1, suspectAt = -1, cleanAt = -1, trialAt = -1;
+    /** When a call was last done or failed, an outage suspected, its end seen; or -1. */
+    private long okAt = -1, failedAt = -1, suspectAt = -1, cleanAt = -1;
     private boolean probeGood;
     long waitUntil;
 
-    Destination(DeliveryTerms terms, StringBuilder log) {
+    Destination(DeliveryTerms terms, Random chance, StringBuilder log) {
+        this.chance = chance;
         this.terms = terms;
         this.log = log;
     }
@@ -45,9 +39,13 @@
         return suspectAt >= 0;
     }
 
+    private boolean down() {
+        return suspect() && cleanAt < 0;
+    }
+
     /** The design's companion rule: calls mostly fail, time out or run far past the fitted mean. */
     boolean sick(long now) {
-        return suspect() || !out.isEmpty() && expected(now) > FAR * fitted(now);
+        return suspect() || !out.isEmpty() && expected(now) > 3 * fitted(now);
     }
 
     /** How long a call fired now is likely to hold its slot. */
@@ -56,24 +54,24 @@
     }
 
     private double fitted(long now) {
-        return routes.stream().map(route -> route.fit(now)).filter(Objects::nonNull).mapToDouble(Fit::m)
-                .min().orElse(OVERDUE_LEAST);
+        return routes.stream().mapToDouble(route -> route.fit(now).m()).min().orElse(Route.OVERDUE_LEAST);
     }
 
-    /** How long a call may run before it is overdue. */
-    static long overdueAfter(Fit fit) {
-        return fit == null ? OVERDUE_UNKNOWN : (long) Math.max(OVERDUE_LEAST, fit.t() + 9 * fit.spread());
+    /** This node's part of what the destination takes, in calls a second, as told, listed or seen. */
+    private double part() {
+        return limitTold > 0 ? limitTold / terms.nodes()
+                : Math.max(listedRate / LISTED_HIGH / terms.nodes(), 1e6 * best / terms.fallSpan());
     }
 
-    /** Rule 4: this node's part of what a cold destination may get, in calls a second, as it warms. */
+    /** Rule 4: this node's part of what a cold destination may get, in calls a second, as it warms: by what is
+     * known or by what the node was served. However little that is, a call goes twice in a warm-up and, of all
+     * nodes, once a span; nodes with few records are then too few to push it over. */
     private double returnRate(long now) {
-        double seen = bestRate * terms.nodes();
-        double capacity = limitTold > 0 ? limitTold
-                : Math.max(listedRate / LISTED_HIGH, listedRate > 0 ? seen / 2 : seen);
         double warm = cleanAt < 0 ? 0 : Math.min(1, (double) (now - cleanAt) / terms.coldFor());
         double share = terms.coldShare() + (1 - terms.coldShare()) * warm;
-        double least = 1e6 / terms.fallSpan() / terms.coldShare(); // one call a span while cold
-        return share * Math.max(CAUTION * terms.fallMultiple() * capacity, least) / terms.nodes();
+        double least = 1e6 / terms.coldShare()
+                * Math.max(1.0 / terms.fallSpan() / terms.nodes(), 0.5 / terms.coldFor());
+        return share * Math.max(CAUTION * terms.fallMultiple() * part(), least);
     }
 
     /** The learned pace, which grows by a fifth a second from half a second after a cut. */
@@ -85,45 +83,28 @@
 
     /** May a call go now? Rules 4 and 6, and the learned pace. */
     boolean admits(long now) {
-        if (now < waitUntil || suspect() && cleanAt < 0) {
-            return now >= waitUntil && trialDue(now) && (probeGood || !terms.probes());
-        }
         double rate = Math.min(1e6, suspect() ? Math.min(pace(now), returnRate(now)) : pace(now));
         credit = Math.min(Math.max(1, rate / 2), credit + rate * (now - creditAt) / 1e6);
         creditAt = now;
-        return credit >= 1;
-    }
-
-    /** Nodes take turns at a destination that may have returned, each by its own number. */
-    private boolean trialDue(long now) {
-        long turn = (long) (1e6 / (returnRate(now) * terms.nodes()));
-        return now / turn % terms.nodes() == terms.nodeNumber() && now / turn != trialAt / turn;
+        return now >= waitUntil && (probeGood || credit >= 1 && (!down() || !terms.probes()));
     }
 
-    /** The route to probe now, or null. */
+    /** The route to probe now, or null: the trial of a destination that may have returned comes out of the
+     * budget, which a call after a good probe overdraws. Probes go only where records wait. */
     Route probe(long now) {
-        if (!terms.probes() || !suspect() || cleanAt >= 0 || probeGood || now < waitUntil || !trialDue(now)) {
+        if (!terms.probes() || !down() || probeGood || admits(now) || now < waitUntil || credit < 1) {
             return null;
         }
-        trialAt = now;
-        return routes.stream().filter(route -> route.standing == Standing.READY).findFirst().orElse(null);
-    }
-
-    /** How many records one call may carry now. */
-    int recordsPerCall(long now, int most) {
-        double cold = cleanAt < 0 ? 1 : returnRate(now) * terms.fallSpan() / 2e6 / RECORD_IN_CALL;
-        return suspect() ? (int) Math.max(1, Math.min(most, cold)) : most;
+        Optional<Route> route = routes.stream().filter(r -> r.standing == Standing.READY
+                && !r.addressee.waiting.isEmpty()).findFirst();
+        credit -= route.isPresent() ? 1 : 0;
+        return route.orElse(null);
     }
 
-    /** Counts a record that goes out with a call; unpaced calls leave no debt. */
-    void fired(Call call, long now) {
-        if (call.records > 0) {
-            credit -= suspect() ? RECORD_IN_CALL : 0;
-            return;
-        }
+    /** Counts a call that goes out; unpaced calls leave no debt. */
+    void fired(Call call) {
         out.add(call);
-        credit = Math.max(0, credit - 1);
-        trialAt = now;
+        credit = Math.max(suspect() ? -1 : 0, credit - 1);
         probeGood = false;
     }
 
@@ -163,20 +144,13 @@
 
     private void done(long now) {
         refusedInRow = failedInRow = 0;
+        served = served(now) + 1;
+        best = Math.max(suspect() ? best : 0.98 * best, served - Math.sqrt(served)); // one call proves no rate
         okAt = now;
         fine++;
-        if (now >= spanEnd) {
-            lastRate = now - spanEnd < terms.fallSpan() ? doneInSpan * 1e6 / terms.fallSpan() : 0;
-            bestRate = Math.max(suspect() ? bestRate : 0.9 * bestRate, lastRate);
-            doneInSpan = 0;
-            spanEnd = now + terms.fallSpan();
-        }
-        doneInSpan++;
-        if (suspect() && cleanAt < 0) {
+        if (down()) {
             cleanAt = now;
             failed = 0;
-            credit = 0;
-            creditAt = now;
         }
         if (suspect() && (now - cleanAt >= terms.coldFor() || failedAt < suspectAt)) { // warm, or only late
             log.append("open after ").append((now - suspectAt) / 1000).append(" ms\n");
@@ -185,18 +159,22 @@
         }
     }
 
+    private double served(long now) {
+        return served * Math.exp((double) (okAt - now) / terms.fallSpan());
+    }
+
     private void refused(long wait, long now) {
-        refusedSince = refusedInRow++ == 0 ? now : refusedSince;
-        long rest = wait > 0 ? wait : FIRST_REST << Math.min(4, refusedInRow - 1);
-        waitUntil = Math.max(waitUntil, now + rest);
-        if (wait > 2 * terms.fallSpan() || refusedInRow >= 4 && now - refusedSince >= 2 * terms.fallSpan()) {
+        refusedInRow += now >= waitUntil ? 1 : 0; // those that went before the rest count once
+        double rest = Math.min(2 * terms.fallSpan(), REST_A_NODE * terms.nodes()) * (0.5 + chance.nextDouble());
+        waitUntil = Math.max(waitUntil, now + wait + ((long) rest << Math.min(4, Math.max(0, refusedInRow - 1))));
+        if (wait > 2 * terms.fallSpan() || refusedInRow >= 6) {
             cleanAt = -1;
             failedAt = now;
             suspect(now, "refused " + refusedInRow + " in a row, wait " + wait / 1000 + " ms", true);
         } else if (now >= paceAt - 250_000) {
-            double served = Math.max(lastRate, 1e6 * doneInSpan / terms.fallSpan());
             double known = Math.max(limitTold, listedRate / LISTED_HIGH) / terms.nodes();
-            pace = Math.max(0.5, 0.85 * Math.min(pace(now), Math.max(served, 1.2 * known)));
+            double seen = Math.max(1e6 * served(now) / terms.fallSpan(), 1.2 * known);
+            pace = Math.max(0.5, 0.85 * Math.min(pace(now), seen));
             paceAt = now + 500_000;
         }
     }
@@ -205,21 +183,19 @@
     int overdue(long now) {
         int overdue = 0;
         for (Call call : out) {
-            long late = now - call.firedAt - overdueAfter(call.route.fit(now));
+            long late = now - call.firedAt - call.route.overdueAfter(now);
             overdue += okAt >= call.firedAt || late <= 0 ? 0 : 2 * late > now - call.firedAt ? 2 : 1;
         }
         return overdue;
     }
 
-    void tick(long now, boolean allLate) {
-        suspect(now, "overdue " + overdue(now), !allLate && overdue(now) >= 2);
-    }
-
-    private void suspect(long now, String why, boolean enough) {
+    void suspect(long now, String why, boolean enough) {
         if (enough && !suspect()) {
             suspectAt = now;
             cleanAt = -1;
             probeGood = false;
+            credit = (double) terms.nodeNumber() / terms.nodes(); // nodes take turns by their own number
+            creditAt = now;
             log.append("suspect: ").append(why).append('\n');
         }
     }
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -22,6 +22,7 @@
 
     private final DeliveryTerms terms;
     private final Map<Integer, Addressee> addressees = new LinkedHashMap<>();
+    private final Map<Integer, Outcomes> halls = new HashMap<>();
     private final Map<Long, Route> routes = new LinkedHashMap<>();
     private final Set<Destination> busy = new LinkedHashSet<>(); // with calls out, or suspect
     private final Set<Addressee> queued = new LinkedHashSet<>(); // with records that wait
@@ -29,17 +30,18 @@
     private final Map<Long, Held.KeyLine> lines = new HashMap<>();
     private final TreeSet<Held> byEnd = new TreeSet<>(
             Comparator.comparingLong((Held held) -> held.abandonAt).thenComparingLong(held -> held.id));
+    private final Random chance;
     private final StringBuilder log = new StringBuilder();
-    private final double[] quotaLeft;
+    private final Map<Integer, Long> shareUsed = new HashMap<>(); // by tenant: until when
     private List<Action> actions;
-    private long now, quotaAt, wakeAt, fullAt;
+    private long now, wakeAt, fullAt, brokenAt;
     private boolean following;
     private int slotsOut, sickOut; // calls out, in all and at sick destinations
     private double copyCredit;
 
     public Dispatcher(DeliveryTerms terms) {
         this.terms = terms;
-        quotaLeft = terms.tenantQuotas().stream().mapToDouble(q -> q / terms.nodes()).toArray();
+        chance = new Random(terms.seed());
     }
 
     /** Takes what happened, in order, and returns what is to be done, in order. */
@@ -96,9 +98,10 @@
         int kind = entry.kind();
         addressee.perCall = kind < terms.recordsPerCall().size() ? terms.recordsPerCall().get(kind) : 1;
         boolean apart = kind < terms.routesApart().size() && terms.routesApart().get(kind);
-        Destination destination = apart || addressee.routes.isEmpty() ? new Destination(terms, log)
+        Destination destination = apart || addressee.routes.isEmpty() ? new Destination(terms, chance, log)
                 : addressee.routes.get(0).destination;
-        Route route = new Route(entry.endpoint(), entry.zone(), addressee, destination);
+        Route route = new Route(entry.endpoint(), entry.zone(), addressee, destination,
+                halls.computeIfAbsent(entry.zone(), zone -> new Outcomes()));
         addressee.routes.add(route);
         destination.routes.add(route);
         return route;
@@ -118,28 +121,26 @@
         makeRoom();
     }
 
+    /** A tenant's records beyond its share of two seconds are worth little; one is always within it. */
     private boolean withinShare(int tenant) {
-        for (int i = 0; i < quotaLeft.length; i++) {
-            double rate = terms.tenantQuotas().get(i) / terms.nodes();
-            quotaLeft[i] = Math.min(2 * rate, quotaLeft[i] + rate * (now - quotaAt) / 1e6);
-        }
-        quotaAt = now;
-        return tenant >= quotaLeft.length || quotaLeft[tenant] >= 1 && quotaLeft[tenant]-- >= 1;
+        boolean shared = tenant < terms.tenantQuotas().size();
+        long each = shared ? (long) (1e6 * terms.nodes() / terms.tenantQuotas().get(tenant)) : 0;
+        long used = Math.max(shareUsed.getOrDefault(tenant, 0L), now - Math.max(each, 2_000_000));
+        boolean within = used + each <= now;
+        shareUsed.put(tenant, within ? used + each : used);
+        return within;
     }
 
     /** Holding room: before the door turns records away unseen, the longest queue hands back what can win
      * least. Guards against a dead or slow destination filling the room; may hurt a passing clump. */
     private void makeRoom() {
-        Held least = byEnd.size() < terms.holdingRoom() - 1 ? null
-                : byEnd.stream().filter(record -> record.shotsOut() == 0 && record.mayBounce())
-                .min(Comparator.comparingInt((Held record) -> -record.addressee.waiting.size())
-                .thenComparingDouble(record -> record.payoffAt(now + 1_000_000, terms.payoffHalves())))
-                .orElse(null);
-        if (least != null) {
-            log.append(now - fullAt < 1_000_000 ? "" : "room full: " + least.addressee.waiting.size() + " of "
-                    + byEnd.size() + " wait for one destination, slots out " + slotsOut + "\n");
+        if (byEnd.size() >= terms.holdingRoom() - 1) {
+            byEnd.stream().filter(record -> record.shotsOut() == 0 && record.mayBounce())
+                    .min(Comparator.comparingInt((Held record) -> -record.addressee.waiting.size())
+                    .thenComparingDouble(record -> record.payoffAt(now + 1_000_000, terms.payoffHalves())))
+                    .ifPresent(this::giveUp);
+            log.append(now < fullAt + 1_000_000 ? "" : "room full, slots out " + slotsOut + "\n");
             fullAt = now;
-            giveUp(least);
         }
     }
 
@@ -171,8 +172,7 @@
 
     private void shotEnded(Event.ShotEnded ended) {
         Held record = held.get(ended.id());
-        if (record == null || ended.shot() >= record.shots.size()
-                || record.shots.get(ended.shot()).ending != null) {
+        if (record == null || ended.shot() >= record.shots.size()) {
             return;
         }
         Shot shot = record.shots.get(ended.shot());
@@ -194,19 +194,23 @@
     private void callEnded(Call call, Event.ShotEnded ended) {
         Route route = call.route;
         call.out--;
-        route.destination.told(now, ended.waitTold(), ended.report());
         if (!call.known) {
             call.known = true;
-            boolean late = ended.spent() > Destination.overdueAfter(route.fit(now));
+            boolean late = ended.spent() > route.overdueAfter(now);
             if (ended.ending() != Ending.NOT_SENT && (ended.ending() != Ending.RECALLED || late)) {
                 route.learn(now, ended.ending(), ended.spent());
             }
+            brokenAt = ended.ending() == Ending.NOT_CONNECTED || ended.ending() == Ending.RESET ? now : brokenAt;
             route.destination.ended(call, ended.ending(), ended.waitTold(), now);
             busy.add(route.destination);
         }
+        route.destination.told(now, ended.waitTold(), ended.report());
         if (call.out == 0) {
             slotsOut--;
             route.addressee.callsOut--;
+            if (now - brokenAt < terms.idleClose()) {
+                actions.add(new Action.DropConnections(route.endpoint));
+            }
         }
     }
 
@@ -224,7 +228,8 @@
         long out = busy.stream().filter(destination -> !destination.out.isEmpty()).count();
         long late = busy.stream().filter(destination -> destination.overdue(now) > 0).count();
         for (Destination destination : busy) {
-            destination.tick(now, late > 2 && 2 * late > out); // slow everywhere: nobody's fault
+            int overdue = destination.overdue(now); // slow everywhere is nobody's fault
+            destination.suspect(now, "overdue " + overdue, overdue >= 2 && (late <= 2 || 2 * late <= out));
             Route route = destination.probe(now);
             if (route != null) {
                 actions.add(new Action.Probe(route.endpoint));
@@ -244,7 +249,7 @@
     private void lateShot(Held record) {
         Shot shot = record.shots.stream().filter(s -> s.ending == null).findFirst().orElseThrow();
         Route route = shot.call.route;
-        if (shot.recalled || now - shot.call.firedAt <= Destination.overdueAfter(route.fit(now))) {
+        if (shot.recalled || now - shot.call.firedAt <= route.overdueAfter(now)) {
             return;
         }
         boolean elsewhere = record.addressee.routes.stream().anyMatch(other -> other != route
@@ -303,52 +308,43 @@
 
     private boolean joinable(Route route) {
         return route.joinable != null && route.joinable.firedAt == now && now >= route.destination.waitUntil
-                && route.joinable.records < route.destination.recordsPerCall(now, route.addressee.perCall);
+                && route.joinable.records < route.addressee.perCall && !route.destination.suspect();
     }
 
     private void shoot(Held record) {
         List<Route> choice = record.addressee.routes.stream()
-                .filter(route -> usable(route) && record.permits(route, now, terms, null)).toList();
-        if (choice.isEmpty()) {
-            return; // the slots went to dearer records of this turn: it goes on waiting
-        }
+                .filter(route -> usable(route) && record.permits(route, now, terms, null))
+                .sorted(Comparator.comparingInt(route -> route.calls)).toList(); // unsampled ones in turn
         boolean again = record.shotsOut() > 0;
         copyCredit = Math.min(terms.slots(), copyCredit + (again ? -1 : COPY_SHARE));
-        Route fresh = choice.stream().filter(route -> route.fit(now) == null)
-                .min(Comparator.comparingInt(route -> route.firsts)).orElse(null);
-        if (fresh != null) {
-            fresh.firsts++;
-            fire(record, fresh);
-        } else {
-            Fit[] fits = choice.stream().map(route -> route.fit(now)).toArray(Fit[]::new);
-            boolean pair = terms.copies() && !again && record.grade.effect() != Effect.UNREPEATABLE
-                    && record.addressee.perCall == 1 && 2 * slotsOut < terms.slots()
-                    && !record.addressee.sick && copyCredit >= 1;
-            int set = RoutePicker.pick(fits, record.grade.target(), record.abandonAt - now, LEAST_RELIABILITY,
-                    pair ? 2 : 1); // C-hat
-            for (int i = 0; i < fits.length; i++) {
-                if ((set >> i & 1) != 0 && usable(choice.get(i))
-                        && record.permits(choice.get(i), now, terms, null)) {
-                    copyCredit -= record.shotsOut() > 0 && !again ? 1 : 0;
-                    fire(record, choice.get(i));
-                }
+        Fit[] fits = choice.stream().map(route -> route.fit(now)).toArray(Fit[]::new);
+        boolean pair = terms.copies() && !again && record.grade.effect() != Effect.UNREPEATABLE
+                && record.addressee.perCall == 1 && 2 * slotsOut < terms.slots()
+                && !record.addressee.sick && copyCredit >= 1;
+        int set = RoutePicker.pick(fits, record.grade.target(), record.abandonAt - now, LEAST_RELIABILITY,
+                pair ? 2 : 1); // C-hat
+        for (int i = 0; i < fits.length; i++) {
+            if ((set >> i & 1) != 0 && usable(choice.get(i)) && record.permits(choice.get(i), now, terms, null)) {
+                copyCredit -= record.shotsOut() > 0 && !again ? 1 : 0;
+                fire(record, choice.get(i));
             }
         }
-        record.addressee.waiting.remove(record);
     }
 
     private void fire(Held record, Route route) {
         if (!joinable(route)) {
             route.joinable = new Call(route, now);
+            route.calls++;
+            route.destination.fired(route.joinable);
+            busy.add(route.destination);
             slotsOut++;
             route.addressee.callsOut++;
             sickOut += route.destination.sick(now) ? 1 : 0;
         }
-        route.destination.fired(route.joinable, now);
-        busy.add(route.destination);
         route.joinable.records++;
         route.joinable.out++;
         record.shots.add(new Shot(route.joinable));
+        record.addressee.waiting.remove(record);
         actions.add(new Action.Shoot(record.id, route.endpoint, record.abandonAt));
     }
 }
--- /dev/null
+++ b/src/main/java/terndyke/decision/Outcomes.java
@@ -0,0 +1,47 @@
+package terndyke.decision;
+
+import java.util.*;
+
+import terndyke.api.Ending;
+import terndyke.decision.RoutePicker.Fit;
+
+/** The last fifty outcomes of one route, or of one hall's, each dropped after a minute. */
+final class Outcomes {
+    static final long KEPT_FOR = 60_000_000;
+    private static final int KEPT = 50;
+
+    private final Deque<Outcome> kept = new ArrayDeque<>(0);
+    private Fit fit;
+    int timed; // outcomes that say something of latency
+
+    /** One outcome; took is -1 where its time says nothing of latency. */
+    private record Outcome(long at, long took, boolean done) { }
+
+    /** Refusals and errors count against r alone: their haste says nothing of latency. */
+    void add(long now, Ending ending, long spent) {
+        boolean waited = ending == Ending.DONE || ending == Ending.TIMED_OUT || ending == Ending.RECALLED;
+        kept.addLast(new Outcome(now, waited ? spent : -1, ending == Ending.DONE));
+        fit = null;
+    }
+
+    /** The shifted exponential of the kept outcomes, or null where none answered or was waited for. */
+    Fit fit(long now) {
+        while (!kept.isEmpty() && (kept.size() > KEPT || kept.getFirst().at < now - KEPT_FOR)) {
+            kept.removeFirst();
+            fit = null;
+        }
+        if (fit == null && !kept.isEmpty()) {
+            double least = Double.MAX_VALUE, sum = 0;
+            int served = 0;
+            timed = 0;
+            for (Outcome outcome : kept) {
+                served += outcome.done ? 1 : 0;
+                timed += outcome.took >= 0 ? 1 : 0;
+                sum += Math.max(0, outcome.took);
+                least = outcome.took >= 0 ? Math.min(least, outcome.took) : least;
+            }
+            fit = timed == 0 ? null : new Fit(least, sum / timed, (double) served / kept.size());
+        }
+        return fit;
+    }
+}
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -1,69 +1,56 @@
 package terndyke.decision;
 
-import java.util.*;
-
 import terndyke.api.Ending;
 import terndyke.api.ListedEndpoint.Standing;
 import terndyke.decision.Held.*;
 import terndyke.decision.RoutePicker.Fit;
 
-/** One endpoint of an addressee, with its last fifty outcomes, each dropped after a minute. */
+/** One endpoint of an addressee, with its outcomes. */
 final class Route {
-    private static final int KEPT = 50;
-    private static final long KEPT_FOR = 60_000_000;
+
+    private static final long FIRST_REST = 100_000;
+    static final long OVERDUE_LEAST = 400_000;
+    private static final Fit UNKNOWN = new Fit(200_000, OVERDUE_LEAST, 1);
 
     final long endpoint;
     final int zone;
     final Addressee addressee;
     final Destination destination;
     Standing standing = Standing.READY;
-    int firsts; // first messages given to the route while it had no samples
     Call joinable; // the call of the present turn, which further records may join
     /** Rests after failures, so that one bad endpoint of several costs few shots; hurts if all fail. */
     long restUntil;
-    private final Deque<Outcome> outcomes = new ArrayDeque<>(0);
+    int calls;
+    private final Outcomes outcomes = new Outcomes(), hall;
     private int failuresInRow;
-    private Fit fit;
-
-    /** One outcome; took is -1 where its time says nothing of latency. */
-    private record Outcome(long at, long took, boolean done) { }
 
-    Route(long endpoint, int zone, Addressee addressee, Destination destination) {
+    Route(long endpoint, int zone, Addressee addressee, Destination destination, Outcomes hall) {
         this.endpoint = endpoint;
         this.zone = zone;
         this.addressee = addressee;
         this.destination = destination;
+        this.hall = hall;
     }
 
-    /** Keeps an outcome. Refusals and errors count against r alone: their haste says nothing of latency. */
+    /** Keeps an outcome, here and for the hall. */
     void learn(long now, Ending ending, long spent) {
-        boolean waited = ending == Ending.DONE || ending == Ending.TIMED_OUT || ending == Ending.RECALLED;
-        outcomes.addLast(new Outcome(now, waited ? spent : -1, ending == Ending.DONE));
-        if (outcomes.size() > KEPT) {
-            outcomes.removeFirst();
-        }
-        fit = null;
+        outcomes.add(now, ending, spent);
+        hall.add(now, ending, spent);
         failuresInRow = ending == Ending.DONE || ending == Ending.FULL ? 0 : Math.min(5, failuresInRow + 1);
-        restUntil = failuresInRow == 0 ? 0 : now + (Destination.FIRST_REST << failuresInRow - 1);
+        restUntil = failuresInRow == 0 ? 0 : now + (FIRST_REST << failuresInRow - 1);
+    }
+
+    /** How long a call may run before it is overdue; a fit of few outcomes is trusted less. */
+    long overdueAfter(long now) {
+        Fit fit = fit(now);
+        double spread = Math.max(fit.spread(), fit.t() / Math.max(1, outcomes.timed));
+        return (long) Math.max(OVERDUE_LEAST, fit.t() + 9 * spread);
     }
 
-    /** The shifted exponential of the kept outcomes, or null where none answered or was waited for. */
+    /** The route's fit or, until it has outcomes of its own, that of all routes in its hall. Guards
+     * against quiet nodes that know next to no route; may hurt where a hall's destinations differ much. */
     Fit fit(long now) {
-        while (!outcomes.isEmpty() && outcomes.getFirst().at < now - KEPT_FOR) {
-            outcomes.removeFirst();
-            fit = null;
-        }
-        if (fit == null && !outcomes.isEmpty()) {
-            double least = Double.MAX_VALUE, sum = 0;
-            int timed = 0, served = 0;
-            for (Outcome outcome : outcomes) {
-                served += outcome.done ? 1 : 0;
-                timed += outcome.took >= 0 ? 1 : 0;
-                sum += Math.max(0, outcome.took);
-                least = outcome.took >= 0 ? Math.min(least, outcome.took) : least;
-            }
-            fit = timed == 0 ? null : new Fit(least, sum / timed, (double) served / outcomes.size());
-        }
-        return fit;
+        Fit own = outcomes.fit(now);
+        return own != null ? own : hall.fit(now) != null ? hall.fit(now) : UNKNOWN;
     }
 }
