Pace by fleet size: growth and floor scale with the nodes, answers raise it by a tenth

Now it grows by 0.4/nodes a second and a tenth with each answer, is cut to 0.7, not under 0.1 or 1/nodes. Covers dropped limits and clumps alike; may hurt a node alone at a destination whose limit rises.

--- a/src/main/java/terndyke/api/Ending.java
+++ b/src/main/java/terndyke/api/Ending.java
@@ -8,4 +8,9 @@
     public boolean provesNotRun() {
         return this == FULL || this == NOT_CONNECTED || this == NOT_SENT;
     }
+
+    /** True where no connection came up, or the one in use broke. */
+    public boolean breaksConnection() {
+        return this == NOT_CONNECTED || this == RESET;
+    }
 }
--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -8,18 +8,17 @@
 
 /** What limits, waits, falls and returns as one: a route where routes are apart, else a whole destination. */
 final class Destination {
-    private static final double CAUTION = 0.9; // how much of a cold destination's budget all nodes use together
+    private static final double CAUTION = 0.9; // how much of a cold destination's budget all nodes use
     private static final double LISTED_HIGH = 1.5; // a listed rate may be half too high
-    private static final long REST_A_NODE = 50_000;
+    private static final long REST = 50_000; // a first rest for each node, spread lest all come back at once
 
     final List<Route> routes = new ArrayList<>();
-    double listedRate;
+    double listedRate, limitTold; // calls a second, as listed and as reported
     private final DeliveryTerms terms;
     private final Random chance;
     private final StringBuilder log;
     final List<Call> out = new ArrayList<>();
-    private int fine, failed, refusedInRow, failedInRow; // calls that ended so; the first two halved now and then
-    private double limitTold; // calls a second, as reported
+    private int fine, failed, refusedInRow, failedInRow; // calls that ended so; the first two halved at times
     private double served, best; // calls done in about one span: now, and surely at best
     /** The learned pace in calls a second, and what it allows at once. */
     private double pace = Double.POSITIVE_INFINITY, credit = 1;
@@ -63,9 +62,9 @@
                 : Math.max(listedRate / LISTED_HIGH / terms.nodes(), 1e6 * best / terms.fallSpan());
     }
 
-    /** Rule 4: this node's part of what a cold destination may get, in calls a second, as it warms: by what is
-     * known or by what the node was served. However little that is, a call goes twice in a warm-up and, of all
-     * nodes, once a span; nodes with few records are then too few to push it over. */
+    /** Rule 4: this node's part of what a cold destination may get, in calls a second, as it warms: by what
+     * is known or by what the node was served. However little that is, a call goes twice in a warm-up and, of
+     * all nodes, once a span; nodes with few records are then too few to push it over. */
     private double returnRate(long now) {
         double warm = cleanAt < 0 ? 0 : Math.min(1, (double) (now - cleanAt) / terms.coldFor());
         double share = terms.coldShare() + (1 - terms.coldShare()) * warm;
@@ -74,9 +73,9 @@
         return share * Math.max(CAUTION * terms.fallMultiple() * part(), least);
     }
 
-    /** The learned pace, which grows by a fifth a second from half a second after a cut. */
+    /** The learned pace, which grows by the clock from half a second after a cut. */
     private double pace(long now) {
-        pace *= Math.exp(0.2 * Math.max(0, now - paceAt) / 1e6);
+        pace *= Math.exp(0.4 / terms.nodes() * Math.max(0, now - paceAt) / 1e6);
         paceAt = Math.max(now, paceAt);
         return pace;
     }
@@ -145,8 +144,9 @@
     private void done(long now) {
         refusedInRow = failedInRow = 0;
         served = served(now) + 1;
-        best = Math.max(suspect() ? best : 0.98 * best, served - Math.sqrt(served)); // one call proves no rate
+        best = Math.max(suspect() ? best : 0.98 * best, served - Math.sqrt(served)); // one call is no rate
         okAt = now;
+        pace *= 1.1;
         fine++;
         if (down()) {
             cleanAt = now;
@@ -164,9 +164,9 @@
     }
 
     private void refused(long wait, long now) {
-        refusedInRow += now >= waitUntil ? 1 : 0; // those that went before the rest count once
-        double rest = Math.min(2 * terms.fallSpan(), REST_A_NODE * terms.nodes()) * (0.5 + chance.nextDouble());
-        waitUntil = Math.max(waitUntil, now + wait + ((long) rest << Math.min(4, Math.max(0, refusedInRow - 1))));
+        refusedInRow = Math.min(6, refusedInRow + (now < waitUntil ? 0 : 1)); // together: once
+        long rest = (long) (Math.min(2 * terms.fallSpan(), REST * terms.nodes()) * (0.5 + chance.nextDouble()));
+        waitUntil = Math.max(waitUntil, now + wait + (rest << Math.max(0, refusedInRow - 2)));
         if (wait > 2 * terms.fallSpan() || refusedInRow >= 6) {
             cleanAt = -1;
             failedAt = now;
@@ -174,7 +174,7 @@
         } else if (now >= paceAt - 250_000) {
             double known = Math.max(limitTold, listedRate / LISTED_HIGH) / terms.nodes();
             double seen = Math.max(1e6 * served(now) / terms.fallSpan(), 1.2 * known);
-            pace = Math.max(0.5, 0.85 * Math.min(pace(now), seen));
+            pace = Math.max(Math.max(0.1, 1.0 / terms.nodes()), 0.7 * Math.min(pace(now), seen));
             paceAt = now + 500_000;
         }
     }
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -34,7 +34,7 @@
     private final StringBuilder log = new StringBuilder();
     private final Map<Integer, Long> shareUsed = new HashMap<>(); // by tenant: until when
     private List<Action> actions;
-    private long now, wakeAt, fullAt, brokenAt;
+    private long now, wakeAt, brokenAt;
     private boolean following;
     private int slotsOut, sickOut; // calls out, in all and at sick destinations
     private double copyCredit;
@@ -123,8 +123,8 @@
 
     /** A tenant's records beyond its share of two seconds are worth little; one is always within it. */
     private boolean withinShare(int tenant) {
-        boolean shared = tenant < terms.tenantQuotas().size();
-        long each = shared ? (long) (1e6 * terms.nodes() / terms.tenantQuotas().get(tenant)) : 0;
+        List<Double> quotas = terms.tenantQuotas();
+        long each = tenant < quotas.size() ? (long) (1e6 * terms.nodes() / quotas.get(tenant)) : 0;
         long used = Math.max(shareUsed.getOrDefault(tenant, 0L), now - Math.max(each, 2_000_000));
         boolean within = used + each <= now;
         shareUsed.put(tenant, within ? used + each : used);
@@ -139,8 +139,7 @@
                     .min(Comparator.comparingInt((Held record) -> -record.addressee.waiting.size())
                     .thenComparingDouble(record -> record.payoffAt(now + 1_000_000, terms.payoffHalves())))
                     .ifPresent(this::giveUp);
-            log.append(now < fullAt + 1_000_000 ? "" : "room full, slots out " + slotsOut + "\n");
-            fullAt = now;
+            log.append("room full, slots out ").append(slotsOut).append('\n');
         }
     }
 
@@ -200,7 +199,7 @@
             if (ended.ending() != Ending.NOT_SENT && (ended.ending() != Ending.RECALLED || late)) {
                 route.learn(now, ended.ending(), ended.spent());
             }
-            brokenAt = ended.ending() == Ending.NOT_CONNECTED || ended.ending() == Ending.RESET ? now : brokenAt;
+            brokenAt = ended.ending().breaksConnection() ? now : brokenAt;
             route.destination.ended(call, ended.ending(), ended.waitTold(), now);
             busy.add(route.destination);
         }
@@ -324,7 +323,8 @@
         int set = RoutePicker.pick(fits, record.grade.target(), record.abandonAt - now, LEAST_RELIABILITY,
                 pair ? 2 : 1); // C-hat
         for (int i = 0; i < fits.length; i++) {
-            if ((set >> i & 1) != 0 && usable(choice.get(i)) && record.permits(choice.get(i), now, terms, null)) {
+            if ((set >> i & 1) != 0 && usable(choice.get(i))
+                    && record.permits(choice.get(i), now, terms, null)) {
                 copyCredit -= record.shotsOut() > 0 && !again ? 1 : 0;
                 fire(record, choice.get(i));
             }
