Rest of a failing route by fleet size; overdue by the latency of answers alone

Now the bound is taken from answers, and the rest grows with the nodes. Covers crashes, hangs and resets alike; a route that fails one call in many rests longer than it need.

--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -62,9 +62,8 @@
                 : Math.max(listedRate / LISTED_HIGH / terms.nodes(), 1e6 * best / terms.fallSpan());
     }
 
-    /** Rule 4: this node's part of what a cold destination may get, in calls a second, as it warms: by what
-     * is known or by what the node was served. However little that is, a call goes twice in a warm-up and, of
-     * all nodes, once a span; nodes with few records are then too few to push it over. */
+    /** Rule 4: this node's part of what a cold destination may get, in calls a second, as it warms. At least a
+     * call goes twice in a warm-up and, of all nodes, once a span: nodes with few records can't push it over. */
     private double returnRate(long now) {
         double warm = cleanAt < 0 ? 0 : Math.min(1, (double) (now - cleanAt) / terms.coldFor());
         double share = terms.coldShare() + (1 - terms.coldShare()) * warm;
@@ -88,8 +87,7 @@
         return now >= waitUntil && (probeGood || credit >= 1 && (!down() || !terms.probes()));
     }
 
-    /** The route to probe now, or null: the trial of a destination that may have returned comes out of the
-     * budget, which a call after a good probe overdraws. Probes go only where records wait. */
+    /** The route to probe now, where records wait, or null; the call after a good probe overdraws the budget. */
     Route probe(long now) {
         if (!terms.probes() || !down() || probeGood || admits(now) || now < waitUntil || credit < 1) {
             return null;
@@ -163,10 +161,14 @@
         return served * Math.exp((double) (okAt - now) / terms.fallSpan());
     }
 
+    /** The first rest after a refusal or failure, spread by chance lest all nodes come back at once. */
+    long firstRest() {
+        return (long) ((0.5 + chance.nextDouble()) * Math.min(2 * terms.fallSpan(), REST * terms.nodes()));
+    }
+
     private void refused(long wait, long now) {
         refusedInRow = Math.min(6, refusedInRow + (now < waitUntil ? 0 : 1)); // together: once
-        long rest = (long) (Math.min(2 * terms.fallSpan(), REST * terms.nodes()) * (0.5 + chance.nextDouble()));
-        waitUntil = Math.max(waitUntil, now + wait + (rest << Math.max(0, refusedInRow - 2)));
+        waitUntil = Math.max(waitUntil, now + wait + (firstRest() << Math.max(0, refusedInRow - 2)));
         if (wait > 2 * terms.fallSpan() || refusedInRow >= 6) {
             cleanAt = -1;
             failedAt = now;
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -15,7 +15,7 @@
  * suspicion of an outage with its budgeted return, in Destination; (3) late shots, (4) payoff order and
  * (5) holding room, here; (6) lines by key, in Held. */
 public final class Dispatcher {
-    private static final double LEAST_RELIABILITY = 0.9;
+    private static final double R_HAT = 0.9;
     private static final double COPY_SHARE = 0.1; // copies that each first shot earns
     private static final long STEP = 10_000;
     private static final long RETRY_REST = 50_000;
@@ -176,7 +176,7 @@
         }
         Shot shot = record.shots.get(ended.shot());
         shot.ending = ended.ending();
-        callEnded(shot.call, ended);
+        callEnded(shot, ended);
         record.line.shotEnded(record, ended.ending(), now, terms.keyRest());
         if (record.over) {
             held.remove(record.id, record.shotsOut() == 0 ? record : null);
@@ -190,13 +190,13 @@
         }
     }
 
-    private void callEnded(Call call, Event.ShotEnded ended) {
+    private void callEnded(Shot shot, Event.ShotEnded ended) {
+        Call call = shot.call;
         Route route = call.route;
         call.out--;
         if (!call.known) {
             call.known = true;
-            boolean late = ended.spent() > route.overdueAfter(now);
-            if (ended.ending() != Ending.NOT_SENT && (ended.ending() != Ending.RECALLED || late)) {
+            if (ended.ending() != Ending.NOT_SENT && (ended.ending() != Ending.RECALLED || shot.recalled)) {
                 route.learn(now, ended.ending(), ended.spent());
             }
             brokenAt = ended.ending().breaksConnection() ? now : brokenAt;
@@ -248,13 +248,13 @@
     private void lateShot(Held record) {
         Shot shot = record.shots.stream().filter(s -> s.ending == null).findFirst().orElseThrow();
         Route route = shot.call.route;
+        boolean crowded = 2 * sickOut >= terms.slots() && route.destination.suspect();
         if (shot.recalled || now - shot.call.firedAt <= route.overdueAfter(now)) {
             return;
         }
         boolean elsewhere = record.addressee.routes.stream().anyMatch(other -> other != route
                 && other.standing == Standing.READY && !other.destination.sick(now)
                 && record.permits(other, now, terms, shot));
-        boolean crowded = 2 * sickOut >= terms.slots() && route.destination.suspect();
         if (terms.recalls() && (crowded || !terms.copies() && elsewhere && route.destination.suspect())) {
             shot.recalled = true;
             actions.add(new Action.Recall(record.id, record.shots.indexOf(shot)));
@@ -318,10 +318,8 @@
         copyCredit = Math.min(terms.slots(), copyCredit + (again ? -1 : COPY_SHARE));
         Fit[] fits = choice.stream().map(route -> route.fit(now)).toArray(Fit[]::new);
         boolean pair = terms.copies() && !again && record.grade.effect() != Effect.UNREPEATABLE
-                && record.addressee.perCall == 1 && 2 * slotsOut < terms.slots()
-                && !record.addressee.sick && copyCredit >= 1;
-        int set = RoutePicker.pick(fits, record.grade.target(), record.abandonAt - now, LEAST_RELIABILITY,
-                pair ? 2 : 1); // C-hat
+                && record.addressee.perCall == 1 && 2 * slotsOut < terms.slots() && copyCredit >= 1;
+        int set = RoutePicker.pick(fits, record.grade.target(), record.abandonAt - now, R_HAT, pair ? 2 : 1);
         for (int i = 0; i < fits.length; i++) {
             if ((set >> i & 1) != 0 && usable(choice.get(i))
                     && record.permits(choice.get(i), now, terms, null)) {
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -40,7 +40,6 @@
                 && grade.effect() == Effect.DEDUPLICATED && !grade.anyEndpointDeduplicates()));
     }
 
-    /** True where no repeat may follow this shot, which may have run. */
     private boolean outlived(Shot shot, long now, DeliveryTerms terms) {
         return grade.effect() == Effect.UNREPEATABLE || grade.effect() == Effect.DEDUPLICATED
                 && now >= shot.call.firedAt + grade.memory() - 2 * terms.turn();
@@ -52,13 +51,11 @@
                 || grade.effect() == Effect.DEDUPLICATED && grade.anyEndpointDeduplicates();
     }
 
-    /** True where no shot is out and none may ever follow. */
     boolean hopeless(long now, DeliveryTerms terms) {
         return shotsOut() == 0 && (shots.size() >= terms.shotsPerRecord()
                 || shots.stream().anyMatch(shot -> shot.mayHaveRun() && outlived(shot, now, terms)));
     }
 
-    /** The payoff of an answer at that time. */
     double payoffAt(long time, boolean halves) {
         double late = Math.max(0, time - targetAt);
         double left = halves ? Math.max(grade.lateShare(), Math.pow(0.5, late / Math.max(1, grade.target())))
--- a/src/main/java/terndyke/decision/Outcomes.java
+++ b/src/main/java/terndyke/decision/Outcomes.java
@@ -12,7 +12,8 @@
 
     private final Deque<Outcome> kept = new ArrayDeque<>(0);
     private Fit fit;
-    int timed; // outcomes that say something of latency
+    int answers; // outcomes that are done, and their mean latency
+    double usual;
 
     /** One outcome; took is -1 where its time says nothing of latency. */
     private record Outcome(long at, long took, boolean done) { }
@@ -32,15 +33,18 @@
         }
         if (fit == null && !kept.isEmpty()) {
             double least = Double.MAX_VALUE, sum = 0;
-            int served = 0;
-            timed = 0;
+            int timed = 0;
+            answers = 0;
+            usual = 0;
             for (Outcome outcome : kept) {
-                served += outcome.done ? 1 : 0;
+                answers += outcome.done ? 1 : 0;
+                usual += outcome.done ? outcome.took : 0;
                 timed += outcome.took >= 0 ? 1 : 0;
                 sum += Math.max(0, outcome.took);
                 least = outcome.took >= 0 ? Math.min(least, outcome.took) : least;
             }
-            fit = timed == 0 ? null : new Fit(least, sum / timed, (double) served / kept.size());
+            usual /= Math.max(1, answers);
+            fit = timed == 0 ? null : new Fit(least, sum / timed, (double) answers / kept.size());
         }
         return fit;
     }
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -8,7 +8,6 @@
 /** One endpoint of an addressee, with its outcomes. */
 final class Route {
 
-    private static final long FIRST_REST = 100_000;
     static final long OVERDUE_LEAST = 400_000;
     private static final Fit UNKNOWN = new Fit(200_000, OVERDUE_LEAST, 1);
 
@@ -37,13 +36,14 @@
         outcomes.add(now, ending, spent);
         hall.add(now, ending, spent);
         failuresInRow = ending == Ending.DONE || ending == Ending.FULL ? 0 : Math.min(5, failuresInRow + 1);
-        restUntil = failuresInRow == 0 ? 0 : now + (FIRST_REST << failuresInRow - 1);
+        restUntil = failuresInRow == 0 ? 0 : now + (destination.firstRest() << failuresInRow - 1);
     }
 
-    /** How long a call may run before it is overdue; a fit of few outcomes is trusted less. */
+    /** How long a call may run before it is overdue, by the latency of answers; few count for less. */
     long overdueAfter(long now) {
         Fit fit = fit(now);
-        double spread = Math.max(fit.spread(), fit.t() / Math.max(1, outcomes.timed));
+        Outcomes known = outcomes.answers > 0 ? outcomes : hall;
+        double spread = Math.max(known.usual - fit.t(), fit.t() / Math.max(1, known.answers));
         return (long) Math.max(OVERDUE_LEAST, fit.t() + 9 * spread);
     }
 
