Lost calls give up their slots; a trial is not held up by its route's rest; tests

A call three times past its bound is now recalled where no slot is free. A suspect destination's trial waited for its route's rest besides (found by the fleet test: 200 nodes, no trial). Returning destinations take further records in a call at a quarter of a call each; the sure rate is the best span less what one of so many nodes sees by chance, at most its root. Covers half-open connections too; may hurt a destination that answers after many times its usual.

--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -47,7 +47,6 @@
         return suspect() || !out.isEmpty() && expected(now) > 3 * fitted(now);
     }
 
-    /** How long a call fired now is likely to hold its slot. */
     double expected(long now) {
         return Math.max(fitted(now), out.isEmpty() ? 0 : now - out.get(0).firedAt);
     }
@@ -62,8 +61,8 @@
                 : Math.max(listedRate / LISTED_HIGH / terms.nodes(), 1e6 * best / terms.fallSpan());
     }
 
-    /** Rule 4: this node's part of what a cold destination may get, in calls a second, as it warms. At least a
-     * call goes twice in a warm-up and, of all nodes, once a span: nodes with few records can't push it over. */
+    /** Rule 4: this node's part of what a cold destination may get, in calls a second, as it warms. At least
+     * two calls go in a warm-up and, of all nodes, one a span: so few can't push it over. */
     private double returnRate(long now) {
         double warm = cleanAt < 0 ? 0 : Math.min(1, (double) (now - cleanAt) / terms.coldFor());
         double share = terms.coldShare() + (1 - terms.coldShare()) * warm;
@@ -87,7 +86,7 @@
         return now >= waitUntil && (probeGood || credit >= 1 && (!down() || !terms.probes()));
     }
 
-    /** The route to probe now, where records wait, or null; the call after a good probe overdraws the budget. */
+    /** The route to probe now, where records wait, or null; the call after a good probe overdraws credit. */
     Route probe(long now) {
         if (!terms.probes() || !down() || probeGood || admits(now) || now < waitUntil || credit < 1) {
             return null;
@@ -105,6 +104,14 @@
         probeGood = false;
     }
 
+    boolean takesMore() {
+        return !suspect() || !down() && credit > -1;
+    }
+
+    void joined(int before) {
+        credit -= before > 0 && suspect() ? 0.25 : 0;
+    }
+
     void probeEnded(long now, Ending ending, float[] report) {
         told(now, 0, report);
         probeGood = ending == Ending.DONE;
@@ -118,7 +125,6 @@
         limitTold = told ? report[terms.limitAt()] : limitTold;
     }
 
-    /** Takes in how a call ended. */
     void ended(Call call, Ending ending, long wait, long now) {
         out.remove(call);
         if (ending == Ending.DONE) {
@@ -142,7 +148,8 @@
     private void done(long now) {
         refusedInRow = failedInRow = 0;
         served = served(now) + 1;
-        best = Math.max(suspect() ? best : 0.98 * best, served - Math.sqrt(served)); // one call is no rate
+        double byChance = Math.min(Math.sqrt(served), 1.44 * Math.log(terms.nodes())); // at one of so many
+        best = Math.max(suspect() ? best : 0.98 * best, served - byChance);
         okAt = now;
         pace *= 1.1;
         fine++;
@@ -153,7 +160,6 @@
         if (suspect() && (now - cleanAt >= terms.coldFor() || failedAt < suspectAt)) { // warm, or only late
             log.append("open after ").append((now - suspectAt) / 1000).append(" ms\n");
             suspectAt = -1;
-            failed = 0;
         }
     }
 
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -17,8 +17,7 @@
 public final class Dispatcher {
     private static final double R_HAT = 0.9;
     private static final double COPY_SHARE = 0.1; // copies that each first shot earns
-    private static final long STEP = 10_000;
-    private static final long RETRY_REST = 50_000;
+    private static final long STEP = 10_000, RETRY_REST = 50_000;
 
     private final DeliveryTerms terms;
     private final Map<Integer, Addressee> addressees = new LinkedHashMap<>();
@@ -35,7 +34,6 @@
     private final Map<Integer, Long> shareUsed = new HashMap<>(); // by tenant: until when
     private List<Action> actions;
     private long now, wakeAt, brokenAt;
-    private boolean following;
     private int slotsOut, sickOut; // calls out, in all and at sick destinations
     private double copyCredit;
 
@@ -48,6 +46,9 @@
     public List<Action> turn(long time, List<Event> events) {
         now = time;
         actions = new ArrayList<>();
+        if (terms.listOnRequest() && routes.isEmpty()) {
+            actions.add(new Action.FollowList(true));
+        }
         events.forEach(this::take);
         if (now >= wakeAt) {
             tick();
@@ -71,8 +72,8 @@
             shotEnded(ended);
         } else if (event instanceof Event.ListTold told) {
             listTold(told);
-        } else if (event instanceof Event.ListFailed) {
-            following = false;
+        } else if (event instanceof Event.ListFailed && terms.listOnRequest()) {
+            actions.add(new Action.FollowList(true));
         } else if (event instanceof Event.ProbeEnded probe && routes.containsKey(probe.endpoint())) {
             routes.get(probe.endpoint()).destination.probeEnded(now, probe.ending(), probe.report());
         } else if (event instanceof Event.RecordWithdrawn gone && held.containsKey(gone.id())) {
@@ -87,9 +88,7 @@
         for (ListedEndpoint entry : told.entries()) {
             Route route = routes.computeIfAbsent(entry.endpoint(), e -> newRoute(entry));
             route.standing = entry.standing();
-            if (terms.ratesListed() && entry.rate() > 0) {
-                route.destination.listedRate = entry.rate();
-            }
+            route.destination.listedRate = terms.ratesListed() ? entry.rate() : 0;
         }
     }
 
@@ -139,7 +138,6 @@
                     .min(Comparator.comparingInt((Held record) -> -record.addressee.waiting.size())
                     .thenComparingDouble(record -> record.payoffAt(now + 1_000_000, terms.payoffHalves())))
                     .ifPresent(this::giveUp);
-            log.append("room full, slots out ").append(slotsOut).append('\n');
         }
     }
 
@@ -185,8 +183,8 @@
         } else if (now >= record.abandonAt - terms.turn() || record.hopeless(now, terms)) {
             giveUp(record);
         } else if (record.shotsOut() == 0) {
-            long rest = RETRY_REST << Math.min(5, record.shots.size());
-            queue(record, ended.ending().provesNotRun() ? now : now + rest);
+            long rest = ended.ending().provesNotRun() ? 0 : RETRY_REST << Math.min(5, record.shots.size());
+            queue(record, now + rest);
         }
     }
 
@@ -215,10 +213,6 @@
 
     /** Now and then: ends what is out of time, looks for silence, and takes up overdue shots again. */
     private void tick() {
-        if (terms.listOnRequest() && !following) {
-            following = true;
-            actions.add(new Action.FollowList(true));
-        }
         lines.values().removeIf(line -> line.idle(now));
         while (!byEnd.isEmpty() && byEnd.first().abandonAt <= now + STEP + 2 * terms.turn()) {
             giveUp(byEnd.first());
@@ -248,8 +242,10 @@
     private void lateShot(Held record) {
         Shot shot = record.shots.stream().filter(s -> s.ending == null).findFirst().orElseThrow();
         Route route = shot.call.route;
-        boolean crowded = 2 * sickOut >= terms.slots() && route.destination.suspect();
-        if (shot.recalled || now - shot.call.firedAt <= route.overdueAfter(now)) {
+        long age = now - shot.call.firedAt, bound = route.overdueAfter(now);
+        boolean crowded = slotsOut >= terms.slots() && age > 3 * bound
+                || 2 * sickOut >= terms.slots() && route.destination.suspect();
+        if (shot.recalled || age <= bound) {
             return;
         }
         boolean elsewhere = record.addressee.routes.stream().anyMatch(other -> other != route
@@ -301,13 +297,14 @@
         Destination destination = route.destination;
         boolean capped = route.addressee.sick && 2 * (route.addressee.callsOut + 1) > terms.slots()
                 || 2 * sickOut >= terms.slots() && destination.sick(now) && !destination.suspect();
-        return route.standing == Standing.READY && (joinable(route) || now >= route.restUntil && !capped
+        boolean rested = now >= route.restUntil || destination.suspect();
+        return route.standing == Standing.READY && (joinable(route) || rested && !capped
                 && slotsOut < terms.slots() && destination.admits(now));
     }
 
     private boolean joinable(Route route) {
         return route.joinable != null && route.joinable.firedAt == now && now >= route.destination.waitUntil
-                && route.joinable.records < route.addressee.perCall && !route.destination.suspect();
+                && route.joinable.records < route.addressee.perCall && route.destination.takesMore();
     }
 
     private void shoot(Held record) {
@@ -318,7 +315,8 @@
         copyCredit = Math.min(terms.slots(), copyCredit + (again ? -1 : COPY_SHARE));
         Fit[] fits = choice.stream().map(route -> route.fit(now)).toArray(Fit[]::new);
         boolean pair = terms.copies() && !again && record.grade.effect() != Effect.UNREPEATABLE
-                && record.addressee.perCall == 1 && 2 * slotsOut < terms.slots() && copyCredit >= 1;
+                && record.addressee.perCall == 1 && 2 * slotsOut < terms.slots()
+                && !record.addressee.sick && copyCredit >= 1;
         int set = RoutePicker.pick(fits, record.grade.target(), record.abandonAt - now, R_HAT, pair ? 2 : 1);
         for (int i = 0; i < fits.length; i++) {
             if ((set >> i & 1) != 0 && usable(choice.get(i))
@@ -339,7 +337,7 @@
             route.addressee.callsOut++;
             sickOut += route.destination.sick(now) ? 1 : 0;
         }
-        route.joinable.records++;
+        route.destination.joined(route.joinable.records++);
         route.joinable.out++;
         record.shots.add(new Shot(route.joinable));
         record.addressee.waiting.remove(record);
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -105,7 +105,6 @@
         }
     }
 
-    /** One shot for the record, as part of a call. */
     static final class Shot {
         final Call call;
         Ending ending;
--- a/src/main/java/terndyke/decision/RoutePicker.java
+++ b/src/main/java/terndyke/decision/RoutePicker.java
@@ -16,7 +16,6 @@
         }
     }
 
-    /** Mean L and tail T of the first answer from a set called together. */
     record Latency(double mean, double tail) { }
 
     /** L and T in closed form: between two minima, the survival of the set is one exponential. */
--- a/src/test/java/terndyke/decision/DispatcherTest.java
+++ b/src/test/java/terndyke/decision/DispatcherTest.java
@@ -26,6 +26,7 @@
 import terndyke.api.Action.Terminate;
 import terndyke.api.Ending;
 import terndyke.api.Event;
+import terndyke.api.ListedEndpoint;
 import terndyke.api.ListedEndpoint.Standing;
 
 class DispatcherTest {
@@ -238,4 +239,106 @@
         assertEquals(dispatcher(terms(true, true, 100), 0).turn(START, takenAll(40, Given.DEDUPLICATED)),
                 dispatcher(terms(true, true, 100), 0).turn(START, takenAll(40, Given.DEDUPLICATED)));
     }
+
+    @Test
+    void aShareUnderOneRecordANodeAdmitsOne() {
+        Dispatcher dispatcher = dispatcher(terms(false, true, 100, 200, 0, 1, List.of(10.0)), 0);
+        List<Action> actions = new ArrayList<>(dispatcher.turn(START, List.of(taken(1, Given.IDEMPOTENT, 0, 1),
+                taken(2, Given.IDEMPOTENT, 0, 1), taken(3, Given.IDEMPOTENT, 1, 1))));
+        actions.addAll(dispatcher.turn(START + 1_000, List.of(ended(1, 0, 11, Ending.DONE, 0))));
+        assertEquals(List.of(1L, 3L), only(Shoot.class, actions).stream().map(Shoot::id).toList());
+    }
+
+    @Test
+    void aFleetThatSawAnOutageTriesLittleHoweverManyNodesItHas() {
+        for (int nodes : new int[] {2, 40, 200}) {
+            int shots = 0;
+            for (int number = 0; number < nodes; number++) {
+                Dispatcher dispatcher = dispatcher(terms(true, false, 100, nodes, number, 8, List.of()), 0);
+                dispatcher.turn(START, takenAll(4, Given.IDEMPOTENT));
+                dispatcher.turn(START + 100_000, List.of(ended(1, 0, 11, Ending.RESET, 0),
+                        ended(2, 0, 12, Ending.RESET, 0), ended(3, 0, 11, Ending.RESET, 0),
+                        ended(4, 0, 12, Ending.RESET, 0)));
+                shots += only(Shoot.class, wakeUntil(dispatcher, START + 110_000, START + 4_100_000)).size();
+            }
+            assertTrue(shots >= 1 && shots <= Math.max(2, nodes / 5 + 1), nodes + " nodes shot " + shots); // two spans
+        }
+    }
+
+    @Test
+    void refusedNodesComeBackAtDifferentTimesAndLaterInALargerFleet() {
+        List<Long> seconds = new ArrayList<>();
+        for (int nodes : new int[] {2, 200}) {
+            Dispatcher dispatcher = dispatcher(terms(true, true, 100, nodes, 0, 8, List.of()), 0);
+            dispatcher.turn(START, List.of(taken(1, Given.IDEMPOTENT)));
+            dispatcher.turn(START + 200_000, List.of(ended(1, 0, 11, Ending.FULL, 0)));
+            long now = START + 200_000;
+            while (only(Shoot.class, dispatcher.turn(now += 10_000, List.of(new Event.Woken(0)))).isEmpty()) {
+                assertTrue(now < START + 9_000_000);
+            }
+            seconds.add((now - START) / 1_000_000);
+        }
+        assertTrue(seconds.get(0) < 1 && seconds.get(1) >= 2, seconds.toString());
+    }
+
+    @Test
+    void oneHungCallDoesNotStopANodeOfTwoSlots() {
+        Dispatcher dispatcher = dispatcher(terms(false, true, 100, 200, 0, 2, List.of()), 0);
+        dispatcher.turn(START, List.of(new Event.ListTold(List.of(new ListedEndpoint(21, 0, 0, 0, Standing.READY, 0, 2)),
+                false), taken(1, Given.IDEMPOTENT)));
+        wakeUntil(dispatcher, START + 10_000, START + 1_500_000);
+        List<Action> actions = new ArrayList<>(dispatcher.turn(START + 1_510_000, List.of(taken(2, Given.IDEMPOTENT),
+                taken(3, Given.IDEMPOTENT, 0, 2))));
+        assertEquals(List.of(21L), only(Shoot.class, actions).stream().map(Shoot::endpoint).toList());
+    }
+
+    @Test
+    void aLostCallGivesUpItsSlotWhereNoneIsFree() {
+        Dispatcher dispatcher = dispatcher(terms(false, true, 100, 200, 0, 1, List.of()), 0);
+        dispatcher.turn(START, List.of(taken(1, Given.IDEMPOTENT), taken(2, Given.IDEMPOTENT)));
+        List<Action> actions = wakeUntil(dispatcher, START + 10_000, START + 9_900_000);
+        assertEquals(List.of(new Recall(1, 0)), only(Recall.class, actions));
+    }
+
+    @Test
+    void aResetAfterQuietTimeKeepsTheRuleOfEachGradeAndClosesConnections() {
+        for (int grade : new int[] {Given.IDEMPOTENT, Given.DEDUPLICATED, Given.UNREPEATABLE}) {
+            Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+            dispatcher.turn(START, List.of(taken(1, grade)));
+            List<Action> actions = new ArrayList<>(dispatcher.turn(START + 200_000,
+                    List.of(ended(1, 0, 11, Ending.RESET, 0))));
+            actions.addAll(wakeUntil(dispatcher, START + 210_000, START + 2_000_000));
+            List<Long> again = only(Shoot.class, actions).stream().map(Shoot::endpoint).toList();
+            assertEquals(grade == Given.UNREPEATABLE ? 1 : 0, only(Terminate.class, actions).size());
+            assertEquals(grade == Given.UNREPEATABLE, again.isEmpty());
+            assertTrue(grade != Given.DEDUPLICATED || again.get(0) == 11L, "not in its group");
+            assertEquals(List.of(new Action.DropConnections(11)), only(Action.DropConnections.class, actions));
+        }
+    }
+
+    @Test
+    void aRecordWithdrawnWhileAShotIsOutGetsNothingMore() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        dispatcher.turn(START, List.of(taken(1, Given.IDEMPOTENT)));
+        List<Action> actions = new ArrayList<>(dispatcher.turn(START + 100_000, List.of(new Event.RecordWithdrawn(1))));
+        assertEquals(List.of(new Recall(1, 0)), only(Recall.class, actions));
+        actions.addAll(dispatcher.turn(START + 200_000, List.of(ended(1, 0, 11, Ending.RESET, 0))));
+        actions.addAll(wakeUntil(dispatcher, START + 210_000, START + 3_000_000));
+        assertEquals(0, only(Shoot.class, actions).size() + only(Bounce.class, actions).size()
+                + only(Terminate.class, actions).size());
+    }
+
+    @Test
+    void someLostAnswersCloseNoDestination() {
+        Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
+        dispatcher.turn(START, takenAll(6, Given.IDEMPOTENT));
+        for (int id = 1; id <= 4; id++) {
+            dispatcher.turn(START + 100_000, List.of(ended(id, 0, 11, Ending.DONE, 0)));
+        }
+        dispatcher.turn(START + 3_000_000, List.of(ended(5, 0, 12, Ending.TIMED_OUT, 0),
+                new Event.ProbeEnded(11, Ending.DONE, 1, Given.NO_REPORT), taken(9, Given.IDEMPOTENT)));
+        List<Action> actions = wakeUntil(dispatcher, START + 3_010_000, START + 3_100_000);
+        assertFalse(only(Shoot.class, actions).isEmpty() && only(Probe.class, actions).isEmpty());
+        assertEquals(0, only(Probe.class, actions).size());
+    }
 }
--- a/src/test/java/terndyke/decision/Given.java
+++ b/src/test/java/terndyke/decision/Given.java
@@ -24,13 +24,18 @@
     private Given() { }
 
     static DeliveryTerms terms(boolean copies, boolean probes, int holdingRoom) {
+        return terms(copies, probes, holdingRoom, 2, 0, 8, List.of());
+    }
+
+    static DeliveryTerms terms(boolean copies, boolean probes, int holdingRoom, int nodes, int nodeNumber, int slots,
+            List<Double> quotas) {
         List<ServiceGrade> grades = List.of(
                 new ServiceGrade(Effect.IDEMPOTENT, true, 0, false, 1_000_000, 0, 10_000_000, 1, 0.5),
                 new ServiceGrade(Effect.DEDUPLICATED, false, 4_000_000, false, 1_000_000, 0, 10_000_000, 1, 0.5),
                 new ServiceGrade(Effect.UNREPEATABLE, false, 0, false, 1_000_000, 0, 10_000_000, 1, 0.5),
                 new ServiceGrade(Effect.IDEMPOTENT, true, 0, true, 1_000_000, 0, 10_000_000, 1, 0.5));
-        return new DeliveryTerms(1, 2, 0, 0, 8, holdingRoom, 6, copies, true, probes, 2_000_000, false, 0, true,
-                false, 0.1, grades, List.of(), List.of(false, true), List.of(1, 5), -1, -1, 500_000, 2, 2_000_000,
+        return new DeliveryTerms(1, nodes, nodeNumber, 0, slots, holdingRoom, 6, copies, true, probes, 2_000_000, false, 0, true,
+                false, 0.1, grades, quotas, List.of(false, true), List.of(1, 5), -1, -1, 500_000, 2, 2_000_000,
                 0.2, 10_000_000, 100_000, 20_000, 5_000, 15_000_000);
     }
 
@@ -47,7 +52,11 @@
     }
 
     static Event taken(long id, int grade) {
-        return new Event.RecordTaken(id, grade, 0, 7, 10_000_000, 0, 1, false, false, false);
+        return taken(id, grade, 0, 1);
+    }
+
+    static Event taken(long id, int grade, int tenant, int destination) {
+        return new Event.RecordTaken(id, grade, tenant, 7, 10_000_000, 0, destination, false, false, false);
     }
 
     static Event ended(long id, int shot, long endpoint, Ending ending, long wait) {
