Order by what a later answer loses; copies count their slots; less CPU

Cause: slots are short at full size, and the order went by payoff alone once a record was late: grades that lose fast starved behind grades that lose slowly, and with two slots a copy took the second. Covers overload and any shortage of slots; may hurt a grade whose payoff falls late and at once.

--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -17,7 +17,7 @@
 public final class Dispatcher {
     private static final double R_HAT = 0.9;
     private static final double COPY_SHARE = 0.1; // copies that each first shot earns
-    private static final long STEP = 10_000, RETRY_REST = 50_000;
+    private static final long STEP = 20_000, RETRY_REST = 50_000, SOON = 300_000, LATER = 3_000_000;
 
     private final DeliveryTerms terms;
     private final Map<Integer, Addressee> addressees = new LinkedHashMap<>();
@@ -42,7 +42,6 @@
         chance = new Random(terms.seed());
     }
 
-    /** Takes what happened, in order, and returns what is to be done, in order. */
     public List<Action> turn(long time, List<Event> events) {
         now = time;
         actions = new ArrayList<>();
@@ -134,9 +133,9 @@
      * least. Guards against a dead or slow destination filling the room; may hurt a passing clump. */
     private void makeRoom() {
         if (byEnd.size() >= terms.holdingRoom() - 1) {
-            byEnd.stream().filter(record -> record.shotsOut() == 0 && record.mayBounce())
+            byEnd.stream().filter(record -> record.shotsOut == 0 && record.mayBounce())
                     .min(Comparator.comparingInt((Held record) -> -record.addressee.waiting.size())
-                    .thenComparingDouble(record -> record.payoffAt(now + 1_000_000, terms.payoffHalves())))
+                    .thenComparingDouble(record -> record.payoffAt(now + LATER, terms)))
                     .ifPresent(this::giveUp);
         }
     }
@@ -150,21 +149,20 @@
     /** The final answer, at once: a bounce where its promise holds, otherwise a termination. */
     private void giveUp(Held record) {
         long stayAway = Math.min(1_000_000, terms.longestAdvice());
-        actions.add(record.shotsOut() == 0 && record.mayBounce() ? new Action.Bounce(record.id, stayAway)
+        actions.add(record.shotsOut == 0 && record.mayBounce() ? new Action.Bounce(record.id, stayAway)
                 : new Action.Terminate(record.id));
         over(record);
     }
 
     private void over(Held record) {
-        if (!byEnd.remove(record)) {
-            return;
+        if (byEnd.remove(record)) {
+            record.over = true;
+            record.addressee.waiting.remove(record);
+            record.shots.stream().filter(shot -> shot.ending == null && terms.recalls())
+                    .forEach(shot -> actions.add(new Action.Recall(record.id, record.shots.indexOf(shot))));
+            record.line.over(record);
+            held.remove(record.id, record.shotsOut == 0 ? record : null);
         }
-        record.over = true;
-        record.addressee.waiting.remove(record);
-        record.shots.stream().filter(shot -> shot.ending == null && terms.recalls())
-                .forEach(shot -> actions.add(new Action.Recall(record.id, record.shots.indexOf(shot))));
-        record.line.over(record);
-        held.remove(record.id, record.shotsOut() == 0 ? record : null);
     }
 
     private void shotEnded(Event.ShotEnded ended) {
@@ -174,15 +172,16 @@
         }
         Shot shot = record.shots.get(ended.shot());
         shot.ending = ended.ending();
+        record.shotsOut--;
         callEnded(shot, ended);
         record.line.shotEnded(record, ended.ending(), now, terms.keyRest());
         if (record.over) {
-            held.remove(record.id, record.shotsOut() == 0 ? record : null);
+            held.remove(record.id, record.shotsOut == 0 ? record : null);
         } else if (ended.recordOver()) {
             over(record);
         } else if (now >= record.abandonAt - terms.turn() || record.hopeless(now, terms)) {
             giveUp(record);
-        } else if (record.shotsOut() == 0) {
+        } else if (record.shotsOut == 0) {
             long rest = ended.ending().provesNotRun() ? 0 : RETRY_REST << Math.min(5, record.shots.size());
             queue(record, now + rest);
         }
@@ -220,9 +219,9 @@
         busy.removeIf(destination -> destination.out.isEmpty() && !destination.suspect());
         long out = busy.stream().filter(destination -> !destination.out.isEmpty()).count();
         long late = busy.stream().filter(destination -> destination.overdue(now) > 0).count();
+        String why = late > 2 && 2 * late > out ? null : late + " of " + out + " late"; // or slow everywhere
         for (Destination destination : busy) {
-            int overdue = destination.overdue(now); // slow everywhere is nobody's fault
-            destination.suspect(now, "overdue " + overdue, overdue >= 2 && (late <= 2 || 2 * late <= out));
+            destination.suspect(now, why, why != null && destination.overdue(now) >= 2);
             Route route = destination.probe(now);
             if (route != null) {
                 actions.add(new Action.Probe(route.endpoint));
@@ -231,7 +230,7 @@
         for (Held record : List.copyOf(byEnd)) {
             if (record.hopeless(now, terms)) {
                 giveUp(record);
-            } else if (record.shotsOut() == 1 && !record.addressee.waiting.contains(record)) {
+            } else if (record.shotsOut == 1 && !record.addressee.waiting.contains(record)) {
                 lateShot(record);
             }
         }
@@ -249,29 +248,29 @@
             return;
         }
         boolean elsewhere = record.addressee.routes.stream().anyMatch(other -> other != route
-                && other.standing == Standing.READY && !other.destination.sick(now)
-                && record.permits(other, now, terms, shot));
+                && !other.destination.sick(now) && usable(other) && record.permits(other, now, terms, shot));
         if (terms.recalls() && (crowded || !terms.copies() && elsewhere && route.destination.suspect())) {
             shot.recalled = true;
             actions.add(new Action.Recall(record.id, record.shots.indexOf(shot)));
-        } else if (terms.copies() && elsewhere && 4 * slotsOut < 3 * terms.slots() && copyCredit >= 1) {
+        } else if (terms.copies() && elsewhere && 4 * slotsOut < 3 * terms.slots() - 3 && copyCredit >= 1) {
             queue(record, now);
         }
     }
 
-    /** Payoff order: what can still be won, the sooner it starts to shrink the dearer. */
+    /** Payoff order: what is lost where the record is answered later, and a little for what is won at all. */
     private double urgency(Held record) {
-        double slack = Math.max(0, record.targetAt - now) / 1e6;
-        return record.payoffAt(now + 300_000, terms.payoffHalves()) / (1 + slack);
+        return record.payoffAt(now + SOON, terms) - 0.8 * record.payoffAt(now + LATER, terms);
     }
 
     private void dispatch() {
         queued.removeIf(addressee -> addressee.waiting.isEmpty());
         sickOut = busy.stream().filter(d -> d.sick(now)).mapToInt(d -> d.out.size()).sum();
-        queued.forEach(this::findNext);
-        for (Optional<Addressee> first = dearest(); first.isPresent(); first = dearest()) {
-            shoot(first.get().next);
-            findNext(first.get());
+        if (slotsOut < terms.slots()) {
+            queued.forEach(this::findNext);
+            for (Optional<Addressee> first = dearest(); first.isPresent(); first = dearest()) {
+                shoot(first.get().next);
+                findNext(first.get());
+            }
         }
     }
 
@@ -283,23 +282,26 @@
     /** Finds the addressee's dearest record that may go now, and its payoff for each moment of a slot. */
     private void findNext(Addressee addressee) {
         addressee.sick = addressee.routes.stream().anyMatch(route -> route.destination.sick(now));
-        List<Route> usable = addressee.waiting.isEmpty() ? List.of()
-                : addressee.routes.stream().filter(this::usable).toList();
-        addressee.next = usable.isEmpty() ? null : addressee.waiting.stream()
-                .filter(record -> record.notBefore <= now && record.line.hasTurn(record, now)
-                        && usable.stream().anyMatch(route -> record.permits(route, now, terms, null)))
-                .max(Comparator.comparingDouble(this::urgency)).orElse(null);
-        addressee.nextUrgency = addressee.next == null ? 0 : urgency(addressee.next)
-                / usable.stream().mapToDouble(route -> route.destination.expected(now)).min().orElse(1);
+        List<Route> usable = addressee.routes.stream().filter(this::usable).toList();
+        double price = usable.stream().mapToDouble(route -> route.destination.expected(now)).min().orElse(1);
+        addressee.next = null;
+        addressee.nextUrgency = 0;
+        for (Held record : usable.isEmpty() ? Set.<Held>of() : addressee.waiting) {
+            double urgency = urgency(record) / price;
+            if (urgency > addressee.nextUrgency && record.notBefore <= now && record.line.hasTurn(record, now)
+                    && usable.stream().anyMatch(route -> record.permits(route, now, terms, null))) {
+                addressee.next = record;
+                addressee.nextUrgency = urgency;
+            }
+        }
     }
 
     private boolean usable(Route route) {
         Destination destination = route.destination;
         boolean capped = route.addressee.sick && 2 * (route.addressee.callsOut + 1) > terms.slots()
                 || 2 * sickOut >= terms.slots() && destination.sick(now) && !destination.suspect();
-        boolean rested = now >= route.restUntil || destination.suspect();
-        return route.standing == Standing.READY && (joinable(route) || rested && !capped
-                && slotsOut < terms.slots() && destination.admits(now));
+        return route.standing == Standing.READY && (joinable(route) || !capped && slotsOut < terms.slots()
+                && (now >= route.restUntil || destination.suspect()) && destination.admits(now));
     }
 
     private boolean joinable(Route route) {
@@ -311,17 +313,17 @@
         List<Route> choice = record.addressee.routes.stream()
                 .filter(route -> usable(route) && record.permits(route, now, terms, null))
                 .sorted(Comparator.comparingInt(route -> route.calls)).toList(); // unsampled ones in turn
-        boolean again = record.shotsOut() > 0;
+        boolean again = record.shotsOut > 0;
         copyCredit = Math.min(terms.slots(), copyCredit + (again ? -1 : COPY_SHARE));
         Fit[] fits = choice.stream().map(route -> route.fit(now)).toArray(Fit[]::new);
         boolean pair = terms.copies() && !again && record.grade.effect() != Effect.UNREPEATABLE
-                && record.addressee.perCall == 1 && 2 * slotsOut < terms.slots()
+                && record.addressee.perCall == 1 && 2 * (slotsOut + 2) <= terms.slots()
                 && !record.addressee.sick && copyCredit >= 1;
         int set = RoutePicker.pick(fits, record.grade.target(), record.abandonAt - now, R_HAT, pair ? 2 : 1);
         for (int i = 0; i < fits.length; i++) {
             if ((set >> i & 1) != 0 && usable(choice.get(i))
                     && record.permits(choice.get(i), now, terms, null)) {
-                copyCredit -= record.shotsOut() > 0 && !again ? 1 : 0;
+                copyCredit -= record.shotsOut > 0 && !again ? 1 : 0;
                 fire(record, choice.get(i));
             }
         }
@@ -340,6 +342,7 @@
         route.destination.joined(route.joinable.records++);
         route.joinable.out++;
         record.shots.add(new Shot(route.joinable));
+        record.shotsOut++;
         record.addressee.waiting.remove(record);
         actions.add(new Action.Shoot(record.id, route.endpoint, record.abandonAt));
     }
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -14,6 +14,7 @@
     final KeyLine line;
     final List<Shot> shots = new ArrayList<>(2);
     boolean over;
+    int shotsOut;
     long notBefore;
 
     Held(Event.RecordTaken taken, long now, ServiceGrade grade, Addressee addressee, double payoff,
@@ -28,10 +29,6 @@
         this.line = line;
     }
 
-    int shotsOut() {
-        return (int) shots.stream().filter(shot -> shot.ending == null).count();
-    }
-
     /** Rule 2: may another shot go by this route now, once the given one out, if any, is recalled? */
     boolean permits(Route route, long now, DeliveryTerms terms, Shot recalled) {
         return !over && shots.size() < terms.shotsPerRecord() && shots.stream().noneMatch(shot ->
@@ -52,14 +49,14 @@
     }
 
     boolean hopeless(long now, DeliveryTerms terms) {
-        return shotsOut() == 0 && (shots.size() >= terms.shotsPerRecord()
+        return shotsOut == 0 && (shots.size() >= terms.shotsPerRecord()
                 || shots.stream().anyMatch(shot -> shot.mayHaveRun() && outlived(shot, now, terms)));
     }
 
-    double payoffAt(long time, boolean halves) {
-        double late = Math.max(0, time - targetAt);
-        double left = halves ? Math.max(grade.lateShare(), Math.pow(0.5, late / Math.max(1, grade.target())))
-                : 1 - (1 - grade.lateShare()) * late / Math.max(1, abandonAt - targetAt);
+    double payoffAt(long time, DeliveryTerms terms) {
+        double late = Math.max(0, time - targetAt), least = grade.lateShare();
+        double left = terms.payoffHalves() ? Math.max(least, Math.pow(0.5, late / Math.max(1, grade.target())))
+                : 1 - (1 - least) * late / Math.max(1, abandonAt - targetAt);
         return time < abandonAt ? payoff * left : 0;
     }
 
@@ -80,7 +77,7 @@
 
         void over(Held record) {
             records.remove(record);
-            strays += record.shotsOut();
+            strays += record.shotsOut;
         }
 
         void shotEnded(Held record, Ending ending, long now, long rest) {
--- a/src/main/java/terndyke/decision/Outcomes.java
+++ b/src/main/java/terndyke/decision/Outcomes.java
@@ -15,8 +15,7 @@
     int answers; // outcomes that are done, and their mean latency
     double usual;
 
-    /** One outcome; took is -1 where its time says nothing of latency. */
-    private record Outcome(long at, long took, boolean done) { }
+    private record Outcome(long at, long took, boolean done) { } // took: -1 where it says nothing of latency
 
     /** Refusals and errors count against r alone: their haste says nothing of latency. */
     void add(long now, Ending ending, long spent) {
