--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -10,7 +10,7 @@
 final class Destination {
     private static final double CAUTION = 0.9; // how much of a cold destination's budget all nodes use
     private static final double LISTED_HIGH = 1.5; // a listed rate may be half too high
-    private static final long REST = 50_000; // a first rest for each node, spread lest all come back at once
+    private static final long REST = 100_000; // a first rest for each node, spread lest all come back at once
 
     final List<Route> routes = new ArrayList<>();
     double listedRate, limitTold; // calls a second, as listed and as reported
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -17,7 +17,7 @@
 public final class Dispatcher {
     private static final double R_HAT = 0.9;
     private static final double COPY_SHARE = 0.1; // copies that each first shot earns
-    private static final long STEP = 20_000, RETRY_REST = 50_000, SOON = 300_000, LATER = 3_000_000;
+    private static final long STEP = 20_000, RETRY_REST = 50_000, SOON = 300_000, LATER = 6_000_000;
 
     private final DeliveryTerms terms;
     private final Map<Integer, Addressee> addressees = new LinkedHashMap<>();
