--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -35,7 +35,7 @@
     void learn(long now, Ending ending, long spent) {
         outcomes.add(now, ending, spent);
         hall.add(now, ending, spent);
-        failuresInRow = ending == Ending.DONE || ending == Ending.FULL ? 0 : Math.min(5, failuresInRow + 1);
+        failuresInRow = ending == Ending.DONE || ending == Ending.FULL ? 0 : Math.min(3, failuresInRow + 1);
         restUntil = failuresInRow == 0 ? 0 : now + (destination.firstRest() << failuresInRow - 1);
     }
 
