--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -204,13 +204,12 @@
         if (call.out == 0) {
             slotsOut--;
             route.addressee.callsOut--;
-            if (now - brokenAt < terms.idleClose()) {
+            if (now - brokenAt < terms.idleClose() && route.outcomes.gap(now) > 2 * SOON) {
                 actions.add(new Action.DropConnections(route.endpoint));
             }
         }
     }
 
-    /** Now and then: ends what is out of time, looks for silence, and takes up overdue shots again. */
     private void tick() {
         lines.values().removeIf(line -> line.idle(now));
         while (!byEnd.isEmpty() && byEnd.first().abandonAt <= now + STEP + 2 * terms.turn()) {
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -54,9 +54,9 @@
     }
 
     double payoffAt(long time, DeliveryTerms terms) {
-        double late = Math.max(0, time - targetAt), least = grade.lateShare();
-        double left = terms.payoffHalves() ? Math.max(least, Math.pow(0.5, late / Math.max(1, grade.target())))
-                : 1 - (1 - least) * late / Math.max(1, abandonAt - targetAt);
+        double late = Math.max(0, time - targetAt), low = grade.lateShare(), aim = grade.target() + 1;
+        double left = terms.payoffHalves() ? Math.max(low, Math.pow(0.5, late / aim))
+                : 1 - (1 - low) * late / Math.max(1, abandonAt - targetAt);
         return time < abandonAt ? payoff * left : 0;
     }
 
@@ -116,7 +116,6 @@
         }
     }
 
-    /** All that one destination number stands for: its routes, and the records that wait for a shot. */
     static final class Addressee {
         final List<Route> routes = new ArrayList<>(4);
         final Set<Held> waiting = new LinkedHashSet<>();
--- a/src/main/java/terndyke/decision/Outcomes.java
+++ b/src/main/java/terndyke/decision/Outcomes.java
@@ -17,6 +17,10 @@
 
     private record Outcome(long at, long took, boolean done) { } // took: -1 where it says nothing of latency
 
+    long gap(long now) {
+        return kept.size() < 2 ? KEPT_FOR : (now - kept.getFirst().at) / (kept.size() - 1);
+    }
+
     /** Refusals and errors count against r alone: their haste says nothing of latency. */
     void add(long now, Ending ending, long spent) {
         boolean waited = ending == Ending.DONE || ending == Ending.TIMED_OUT || ending == Ending.RECALLED;
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -20,7 +20,7 @@
     /** Rests after failures, so that one bad endpoint of several costs few shots; hurts if all fail. */
     long restUntil;
     int calls;
-    private final Outcomes outcomes = new Outcomes(), hall;
+    final Outcomes outcomes = new Outcomes(), hall;
     private int failuresInRow;
 
     Route(long endpoint, int zone, Addressee addressee, Destination destination, Outcomes hall) {
@@ -31,7 +31,6 @@
         this.hall = hall;
     }
 
-    /** Keeps an outcome, here and for the hall. */
     void learn(long now, Ending ending, long spent) {
         outcomes.add(now, ending, spent);
         hall.add(now, ending, spent);
--- a/src/test/java/terndyke/decision/DispatcherTest.java
+++ b/src/test/java/terndyke/decision/DispatcherTest.java
@@ -341,4 +341,16 @@
         assertFalse(only(Shoot.class, actions).isEmpty() && only(Probe.class, actions).isEmpty());
         assertEquals(0, only(Probe.class, actions).size());
     }
+
+    @Test
+    void connectionsInSteadyUseStayOpenWhenOthersFail() {
+        Dispatcher dispatcher = dispatcher(terms(false, true, 100), 0);
+        List<Action> actions = new ArrayList<>();
+        for (int id = 1; id <= 6; id++) {
+            Shoot shoot = only(Shoot.class, dispatcher.turn(START + id * 100_000, List.of(taken(id, 0)))).get(0);
+            actions.addAll(dispatcher.turn(START + id * 100_000 + 50_000, List.of(ended(id, 0, shoot.endpoint(),
+                    id == 4 ? Ending.NOT_CONNECTED : Ending.DONE, 0))));
+        }
+        assertFalse(actions.contains(new Action.DropConnections(11)));
+    }
 }
