--- a/src/main/java/terndyke/Main.java
+++ b/src/main/java/terndyke/Main.java
@@ -5,29 +5,85 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+
 import terndyke.adapter.BenchAdapter;
+import terndyke.node.Charter;
+import terndyke.node.DeliveryNode;
+import terndyke.node.NodeLog;
 
 /** The command line: one subcommand for each way to run terndyke. */
 public final class Main {
-    private static final String USAGE = """
-            usage: java -jar terndyke.jar COMMAND
-              adapter   answer the bench's wire on standard input and output
-              help      show this text""";
+    private static final int BAD_INPUT = 2;
+    private static final int BAD_USAGE = 64;
 
     private Main() { }
 
+    @Parameters(commandDescription = "run a delivery node until it is told to end")
+    private static final class Serve {
+        @Parameter(names = "--config", description = "the node's configuration; else NODE_CONFIG")
+        private String config = System.getenv("NODE_CONFIG");
+        @Parameter(names = "--name", description = "the node's name; else NODE_NAME, else the configuration's")
+        private String name = System.getenv("NODE_NAME");
+        @Parameter(names = "--listen", description = "where clients connect; else NODE_LISTEN")
+        private String listen = System.getenv("NODE_LISTEN");
+        @Parameter(names = "--discovery", description = "where discovery answers; else NODE_DISCOVERY")
+        private String discovery = System.getenv("NODE_DISCOVERY");
+        @Parameter(names = "--state", description = "the folder that lasts; else NODE_STATE")
+        private String state = System.getenv("NODE_STATE");
+    }
+
+    @Parameters(commandDescription = "answer the bench's wire on standard input and output")
+    private static final class Adapter { }
+
+    @Parameters(commandDescription = "print the version")
+    private static final class Version { }
+
+    @Parameters(commandDescription = "show this text")
+    private static final class Help { }
+
     public static void main(String[] arguments) {
-        String command = arguments.length == 1 ? arguments[0] : "";
-        switch (command) {
+        Serve serve = new Serve();
+        JCommander commands = JCommander.newBuilder().programName("terndyke").addCommand("serve", serve)
+                .addCommand("adapter", new Adapter()).addCommand("version", new Version())
+                .addCommand("help", new Help()).build();
+        try {
+            commands.parse(arguments);
+        } catch (ParameterException e) {
+            System.err.println("terndyke: " + e.getMessage());
+            System.exit(BAD_USAGE);
+        }
+        switch (String.valueOf(commands.getParsedCommand())) {
+            case "serve" -> serve(serve);
             case "adapter" -> System.exit(adapter());
-            case "help" -> System.out.println(USAGE);
+            case "version" -> System.out.println("terndyke " + Main.class.getPackage().getImplementationVersion());
+            case "help" -> commands.usage();
             default -> {
-                System.err.println(USAGE);
-                System.exit(64);
+                commands.usage();
+                System.exit(BAD_USAGE);
             }
         }
     }
 
+    private static void serve(Serve serve) {
+        try {
+            Charter charter = Charter.read(new Charter.Place(serve.config, serve.name, serve.listen, serve.discovery,
+                    serve.state));
+            DeliveryNode node = new DeliveryNode(charter, new NodeLog(System.out, charter.name()));
+            node.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                node.close();
+                Runtime.getRuntime().halt(0);
+            }, "terndyke-close"));
+        } catch (IOException e) {
+            System.err.println("terndyke: " + String.valueOf(e.getMessage()).replace('\n', ' '));
+            System.exit(BAD_INPUT);
+        }
+    }
+
     private static int adapter() {
         try {
             return new BenchAdapter().serve(new FileInputStream(FileDescriptor.in),
--- a/src/main/java/terndyke/adapter/TermsReader.java
+++ b/src/main/java/terndyke/adapter/TermsReader.java
@@ -10,11 +10,16 @@
 import terndyke.api.ServiceGrade;
 import terndyke.api.ServiceGrade.Effect;
 
-/** Reads the wire's path=value settings into delivery terms. Keys that it does not know are passed over. */
-final class TermsReader {
-    private final Map<String, String> values = new HashMap<>();
+/** Reads path=value settings into delivery terms, for the wire and for the node. Unknown keys are passed over. */
+public final class TermsReader {
+    private final Map<String, String> values;
 
-    private TermsReader(String text) throws WireException {
+    private TermsReader(Map<String, String> values) {
+        this.values = values;
+    }
+
+    static DeliveryTerms read(long seed, String text) throws WireException {
+        Map<String, String> values = new HashMap<>();
         for (String line : text.split("\n")) {
             if (line.isBlank()) {
                 continue;
@@ -25,10 +30,12 @@
             }
             values.put(line.substring(0, equals).strip(), line.substring(equals + 1).strip());
         }
+        return read(seed, values);
     }
 
-    static DeliveryTerms read(long seed, String text) throws WireException {
-        return new TermsReader(text).terms(seed);
+    /** Reads settings that are flat already: a list of plain values is joined by commas. */
+    public static DeliveryTerms read(long seed, Map<String, String> values) throws WireException {
+        return new TermsReader(values).terms(seed);
     }
 
     private DeliveryTerms terms(long seed) throws WireException {
--- a/src/main/java/terndyke/api/Event.java
+++ b/src/main/java/terndyke/api/Event.java
@@ -22,6 +22,21 @@
     /** The answer to a shot has started to stream. */
     record AnswerStarted(long id, int shot, long endpoint, long spent) implements Event { }
 
+    /**
+     * A record that the last life of this node took and still owed; it comes before any new one, in the order of
+     * taking. Where ended is true its end is decided and only the telling is owed, or its shots may still run.
+     */
+    record RecordOwed(RecordTaken taken, List<EarlierShot> shots, boolean ended) implements Event { }
+
+    /** A shot of the last life, fired so long ago; ending is null where the life ended before the shot did. */
+    record EarlierShot(long endpoint, int zone, long age, Ending ending) { }
+
+    /** The final answer that the dispatcher gave for a record has been told; until then the record is not over. */
+    record EndTold(long id) implements Event { }
+
+    /** The node is about to go and waits for no outcome longer than this. */
+    record NodeLeaving(long within) implements Event { }
+
     /** The client withdrew the record; nothing more is owed for it. */
     record RecordWithdrawn(long id) implements Event { }
 
--- /dev/null
+++ b/src/main/java/terndyke/node/Counters.java
@@ -0,0 +1,49 @@
+package terndyke.node;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** What the node has taken in, sent and answered since its start. */
+public final class Counters {
+
+    /** One thing that is counted. */
+    public enum Count {
+        CLIENT_CONNECTIONS, REQUESTS_IN, MALFORMED, TOO_LARGE, REFUSED_AT_DOOR, TAKEN, BOUNCED_AT_ONCE, REPEATS,
+        WITHDRAWN, RESTORED, SHOTS, CONNECTIONS_OPENED, DONE, ERROR, FULL, TIMED_OUT, NOT_CONNECTED, RESET, RECALLED,
+        NOT_SENT, PROBES, ENDED_DONE, ENDED_BOUNCED, ENDED_TERMINATED, NOTICES_SENT, NOTICES_ANSWERED, LISTS_TOLD,
+        JOURNAL_ENTRIES, JOURNAL_COMPACTIONS, JOURNAL_REFUSALS
+    }
+
+    private final Map<Count, AtomicLong> counts = new EnumMap<>(Count.class);
+
+    public Counters() {
+        for (Count count : Count.values()) {
+            counts.put(count, new AtomicLong());
+        }
+    }
+
+    public void add(Count count) {
+        add(count, 1);
+    }
+
+    public void add(Count count, long many) {
+        counts.get(count).addAndGet(many);
+    }
+
+    public long of(Count count) {
+        return counts.get(count).get();
+    }
+
+    /** One line for each counter that is not zero: its name in lower case and its figure. */
+    @Override
+    public String toString() {
+        StringBuilder lines = new StringBuilder();
+        counts.forEach((count, figure) -> {
+            if (figure.get() != 0) {
+                lines.append(count.name().toLowerCase(java.util.Locale.ROOT)).append(' ').append(figure).append('\n');
+            }
+        });
+        return lines.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -0,0 +1,87 @@
+package terndyke.node;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+
+import terndyke.api.Event;
+import terndyke.node.discovery.Catalogue;
+import terndyke.node.http.Door;
+import terndyke.node.http.Reactor;
+import terndyke.node.journal.Entry;
+import terndyke.node.journal.Journal;
+import terndyke.node.stage.Book;
+import terndyke.node.stage.Desk;
+import terndyke.node.stage.Owed;
+import terndyke.node.stage.Word;
+
+/** A delivery node that others can embed: start() serves, close() leaves in good order. */
+public final class DeliveryNode implements AutoCloseable {
+    private final Charter charter;
+    private final NodeLog log;
+    private final Counters counters = new Counters();
+    private Reactor reactor;
+    private Journal journal;
+    private Door door;
+    private Desk desk;
+    private Thread thread;
+    private volatile boolean ready;
+
+    public DeliveryNode(Charter charter, NodeLog log) {
+        this.charter = charter;
+        this.log = log;
+    }
+
+    /** Takes up what the last life owed and serves from then on. */
+    public void start() throws IOException {
+        Limits limits = charter.limits();
+        NodeClock clock = new NodeClock();
+        List<Entry> entries = new ArrayList<>();
+        journal = Journal.open(charter.folder(), limits.journalBytes(), log, entries);
+        Catalogue catalogue = new Catalogue(charter.zones(), charter.kinds());
+        List<String> unread = new ArrayList<>();
+        Event.ListTold known = charter.known().isEmpty() ? new Event.ListTold(List.of(), true)
+                : catalogue.take(charter.known(), unread);
+        unread.forEach(text -> log.warn("known list: " + text));
+        Book book = new Book(journal, limits, counters, log);
+        Collection<Owed> owed = book.restore(entries);
+        reactor = new Reactor(limits, log);
+        reactor.start();
+        desk = new Desk(charter, reactor, catalogue, book, clock, counters, log);
+        desk.restore(known, owed);
+        thread = new Thread(desk, "terndyke-desk");
+        thread.start();
+        door = new Door(limits, counters, charter.grades(), charter.tenants(), clock::now, () -> ready,
+                desk::handOver, handover -> desk.post(new Word.Left(handover)));
+        reactor.listen(charter.listen(), limits, door::exchange);
+        ready = true;
+        log.info("serving on " + charter.listen() + ", " + known.entries().size() + " endpoints known, "
+                + counters.of(Counters.Count.RESTORED) + " records owed from the last life");
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    /** Takes nothing new, finishes what can still be finished in time, and leaves the rest in the journal. */
+    @Override
+    public void close() {
+        if (desk == null) {
+            return;
+        }
+        ready = false;
+        door.closing();
+        desk.post(new Word.Leave());
+        try {
+            thread.join(charter.limits().leaveWithin() / 1000 + 200);
+            reactor.close();
+            journal.close();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            log.warn("journal", e);
+        }
+        log.info("left; counters: " + counters.toString().strip().replace("\n", ", "));
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/FlatJson.java
@@ -0,0 +1,82 @@
+package terndyke.node;
+
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+
+/** Reads JSON into paths and plain values: lists of plain values are joined by commas, others carry a count. */
+public final class FlatJson {
+    private static final JsonFactory FACTORY = new JsonFactory();
+
+    private final Map<String, String> values = new LinkedHashMap<>();
+
+    private FlatJson() { }
+
+    /** The values by path, such as known.targets.0.uid; an IOException names what cannot be read. */
+    public static Map<String, String> read(byte[] json) throws IOException {
+        FlatJson flat = new FlatJson();
+        try (JsonParser parser = FACTORY.createParser(json)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new IOException("not a JSON object");
+            }
+            flat.object(parser, "");
+            if (parser.nextToken() != null) {
+                throw new IOException("more than one JSON object");
+            }
+        }
+        return flat.values;
+    }
+
+    /** The part of the values below a path, with the path taken off. */
+    public static Map<String, String> below(String path, Map<String, String> values) {
+        Map<String, String> part = new LinkedHashMap<>();
+        values.forEach((key, value) -> {
+            if (key.startsWith(path + ".")) {
+                part.put(key.substring(path.length() + 1), value);
+            }
+        });
+        return part;
+    }
+
+    private void object(JsonParser parser, String path) throws IOException {
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            value(parser, path.isEmpty() ? name : path + "." + name);
+        }
+    }
+
+    private void value(JsonParser parser, String path) throws IOException {
+        switch (parser.currentToken()) {
+            case START_OBJECT -> object(parser, path);
+            case START_ARRAY -> list(parser, path);
+            case VALUE_NULL -> { }
+            default -> values.put(path, parser.getText());
+        }
+    }
+
+    private void list(JsonParser parser, String path) throws IOException {
+        StringBuilder plain = new StringBuilder();
+        int count = 0;
+        boolean nested = false;
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            if (parser.currentToken().isStructStart()) {
+                nested = true;
+                value(parser, path + "." + count);
+            } else {
+                plain.append(count > 0 ? "," : "").append(parser.getText());
+            }
+            count++;
+        }
+        if (nested || count == 0) {
+            values.put(path + ".count", Integer.toString(count));
+        }
+        if (!nested) {
+            values.put(path, plain.toString());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/Limits.java
@@ -0,0 +1,32 @@
+package terndyke.node;
+
+/**
+ * All sizes, counts and times of a node, filled once at its start from what the machine grants. Times are whole
+ * microseconds, sizes are bytes.
+ */
+public record Limits(
+        int bodyBytes, int answerBytes, int lineBytes, int headers,
+        int clientConnections, int spareConnections, int endpointConnections, int probes,
+        int inbox, int records, long heldBytes, int remembered, int noticesTogether,
+        long journalBytes, long journalReserve,
+        long connectTimeout, long idleClose, long halfRequest, long clientIdle, long answerWithin,
+        long watchWait, long watchSlack, long resend, long probeTimeout,
+        long leaveWithin, long leaveLast) {
+
+    /** Shares out a machine's memory, descriptors and disk, with the terms' bounds on calls and records. */
+    public static Limits shareOut(int memoryMb, int sockets, double diskMb, int slots, int holdingRoom,
+            long connectTimeout, long idleClose) {
+        int descriptors = Math.max(64, sockets - 48); // the program's own: jar, selectors, journal, log
+        int calls = Math.max(8, Math.min(descriptors / 2, 8 * slots));
+        int clients = Math.max(16, Math.min(descriptors - calls - 8, memoryMb * 2));
+        long disk = Math.max(64 << 10, (long) (diskMb * 1_000_000) - (16 << 10));
+        int body = 64 << 10;
+        return new Limits(body, 2 << 20, 8 << 10, 64,
+                clients * 7 / 8, clients / 8, calls, Math.max(4, calls / 8),
+                1024, holdingRoom, memoryMb * 1_000_000L / 8, 16 * 1024, 64,
+                disk, disk / 8,
+                connectTimeout, idleClose <= 0 ? 0 : idleClose * 4 / 5, 5_000_000, 60_000_000, 350_000,
+                4_000_000, 1_500_000, 200_000, 1_500_000,
+                3_000_000, 400_000);
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/NodeClock.java
@@ -0,0 +1,19 @@
+package terndyke.node;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/** The node's clock in whole microseconds: the wall clock at its start, carried on by the monotonic one. */
+public final class NodeClock {
+    private final long wallAtStart;
+    private final long nanosAtStart = System.nanoTime();
+
+    public NodeClock() {
+        Duration since = Duration.between(Instant.EPOCH, Instant.now());
+        wallAtStart = since.getSeconds() * 1_000_000 + since.getNano() / 1000;
+    }
+
+    public long now() {
+        return wallAtStart + (System.nanoTime() - nanosAtStart) / 1000;
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -0,0 +1,92 @@
+package terndyke.node.discovery;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+
+import terndyke.api.Event;
+import terndyke.node.Limits;
+import terndyke.node.NodeLog;
+import terndyke.node.http.Call;
+import terndyke.node.http.Calls;
+
+/** Follows discovery's list: the next call leaves as soon as the last one is answered. All on the decision thread. */
+public final class Watch {
+    private static final byte[] NOTHING = new byte[0];
+
+    private final Limits limits;
+    private final InetSocketAddress discovery;
+    private final Catalogue catalogue;
+    private final Calls calls;
+    private final NodeLog log;
+    private final BiConsumer<Long, Call.Result> whenAnswered;
+    private Calls.Line line;
+    private long round;
+    private long dueAt; // when the call that is out has waited too long, or the next one may leave
+    private boolean out;
+    private boolean silent;
+
+    public Watch(Limits limits, InetSocketAddress discovery, Catalogue catalogue, Calls calls, NodeLog log,
+            BiConsumer<Long, Call.Result> whenAnswered) {
+        this.limits = limits;
+        this.discovery = discovery;
+        this.catalogue = catalogue;
+        this.calls = calls;
+        this.log = log;
+        this.whenAnswered = whenAnswered;
+    }
+
+    /** Keeps the watch going; returns when to come again at the latest. */
+    public long keep(long now) {
+        if (now >= dueAt) {
+            if (out) {
+                calls.cancel(line);
+                told(false, "no answer from discovery; the list stays in force");
+            }
+            start(now);
+        }
+        return dueAt;
+    }
+
+    private void start(long now) {
+        String path = "/catalog/members?after=" + catalogue.version() + "&wait_ms=" + limits.watchWait() / 1000;
+        long sent = ++round;
+        line = calls.start(discovery, new Call("GET", path, new String[] {"Host", discovery.getHostString()}, NOTHING),
+                now, result -> whenAnswered.accept(sent, result));
+        out = line != null;
+        dueAt = now + (out ? limits.watchWait() + limits.watchSlack() : limits.resend());
+    }
+
+    /** Takes in an answer; returns what it tells, or null where it cannot be read. */
+    public Event answered(long answeredRound, Call.Result result, long now) {
+        if (!out || answeredRound != round) {
+            return null;
+        }
+        out = false;
+        dueAt = now + limits.resend();
+        if (result.status() != 200 || result.body() == null) {
+            told(false, "watch broke: status " + result.status() + ", " + result.ending());
+            return new Event.ListFailed();
+        }
+        try {
+            List<String> unread = new ArrayList<>();
+            Event.ListTold list = catalogue.take(result.body(), unread);
+            unread.forEach(text -> log.warn("list: " + text));
+            dueAt = now;
+            told(true, "discovery answers again");
+            return list;
+        } catch (IOException e) {
+            log.warn("list cannot be read: " + e.getMessage());
+            return new Event.ListFailed();
+        }
+    }
+
+    private void told(boolean answered, String text) {
+        if (silent == answered) {
+            silent = !answered;
+            log.info(text);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/http/Call.java
@@ -0,0 +1,20 @@
+package terndyke.node.http;
+
+import terndyke.api.Ending;
+
+/** One call on an endpoint, in the form in which it goes out. The head ends with its empty line. */
+public record Call(String method, String path, String[] headers, byte[] body) {
+
+    /** What came back. Status is 0 and ending says why where there was no readable answer. */
+    public record Result(int status, Ending ending, long waitTold, boolean lineBusy, String load, byte[] body) {
+
+        static Result none(Ending ending) {
+            return new Result(0, ending, 0, false, null, null);
+        }
+    }
+
+    /** Called once on the I/O thread with the result. */
+    public interface Sink {
+        void ended(Result result);
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -0,0 +1,370 @@
+package terndyke.node.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Future;
+import java.util.function.Consumer;
+
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.EntityDetails;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
+import org.apache.hc.core5.http.nio.CapacityChannel;
+import org.apache.hc.core5.http.nio.DataStreamChannel;
+import org.apache.hc.core5.http.nio.RequestChannel;
+import org.apache.hc.core5.http.nio.command.RequestExecutionCommand;
+import org.apache.hc.core5.http.protocol.HttpContext;
+import org.apache.hc.core5.http.protocol.HttpCoreContext;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.Command;
+import org.apache.hc.core5.reactor.IOSession;
+
+import terndyke.api.Ending;
+import terndyke.node.Counters;
+import terndyke.node.Counters.Count;
+import terndyke.node.Limits;
+
+/**
+ * The node's own connections, one call at a time on each. All methods belong to one thread, the owner's; what comes
+ * back goes to the sinks on the I/O thread, and lines that are free again come back through the given hand.
+ */
+public final class Calls {
+    private final Reactor reactor;
+    private final Limits limits;
+    private final Counters counters;
+    private final Consumer<Line> whenFree;
+    private final Map<InetSocketAddress, Deque<Line>> idle = new HashMap<>();
+    private int open;
+
+    public Calls(Reactor reactor, Limits limits, Counters counters, Consumer<Line> whenFree) {
+        this.reactor = reactor;
+        this.limits = limits;
+        this.counters = counters;
+        this.whenFree = whenFree;
+    }
+
+    /** One connection, with the call that is on it. */
+    public final class Line {
+        private final InetSocketAddress address;
+        private volatile IOSession session;
+        private volatile HttpConnection connection;
+        private volatile boolean dropped;
+        private Future<IOSession> coming;
+        private Exchange exchange;
+        private long idleSince;
+        private long due; // bytes that the calls so far come to
+        private boolean counted = true;
+
+        private Line(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        void opened(IOSession opened, HttpConnection handler) {
+            connection = handler;
+            session = opened;
+            if (dropped) {
+                opened.close(CloseMode.IMMEDIATE);
+            }
+        }
+
+        private boolean usable() {
+            return session != null && session.isOpen();
+        }
+
+        /** True once all bytes of the calls so far have been written to the socket. */
+        private boolean allWritten() {
+            return connection != null && connection.getEndpointDetails() != null
+                    && connection.getEndpointDetails().getSentBytesCount() >= due;
+        }
+    }
+
+    /** Starts a call; the sink hears of it once. Returns what cancel() takes, or null where no socket is left. */
+    public Line start(InetSocketAddress address, Call call, long now, Call.Sink sink) {
+        Deque<Line> free = idle.getOrDefault(address, new ArrayDeque<>(0));
+        for (Line line = free.pollLast(); line != null; line = free.pollLast()) {
+            if (line.usable() && now - line.idleSince < limits.idleClose()) {
+                line.exchange = new Exchange(line, call, sink);
+                line.session.enqueue(line.exchange.command(), Command.Priority.NORMAL);
+                return line;
+            }
+            drop(line);
+        }
+        if (open >= limits.endpointConnections() && !dropOldest()) {
+            return null;
+        }
+        Line line = new Line(address);
+        line.exchange = new Exchange(line, call, sink);
+        open++;
+        counters.add(Count.CONNECTIONS_OPENED);
+        Exchange exchange = line.exchange;
+        line.coming = reactor.connect(address, limits.connectTimeout(), line, new FutureCallback<>() {
+            @Override
+            public void completed(IOSession session) {
+                session.enqueue(exchange.command(), Command.Priority.NORMAL);
+            }
+
+            @Override
+            public void failed(Exception cause) {
+                exchange.end(Call.Result.none(Ending.NOT_CONNECTED));
+                whenFree.accept(line);
+            }
+
+            @Override
+            public void cancelled() {
+                exchange.end(Call.Result.none(Ending.NOT_CONNECTED));
+                whenFree.accept(line);
+            }
+        });
+        return line;
+    }
+
+    /** True while the line's call cannot have been written whole, so that giving it up shows that it never ran. */
+    public boolean neverWhole(Line line) {
+        return !line.allWritten();
+    }
+
+    /** Gives up the call on a line by closing the connection; its sink hears nothing more that counts. */
+    public void cancel(Line line) {
+        drop(line);
+    }
+
+    /** Takes back a line whose call is over, for the next call where it is still open. */
+    public void free(Line line, long now) {
+        if (line.usable() && !line.dropped && limits.idleClose() > 0) {
+            line.idleSince = now;
+            line.exchange = null;
+            idle.computeIfAbsent(line.address, a -> new ArrayDeque<>(4)).addLast(line);
+        } else {
+            drop(line);
+        }
+    }
+
+    /** Closes the idle connections to an address. */
+    public void dropIdle(InetSocketAddress address) {
+        Deque<Line> free = idle.remove(address);
+        if (free != null) {
+            free.forEach(this::drop);
+        }
+    }
+
+    /** Closes what has been idle for so long that the other side is about to. */
+    public void sweep(long now) {
+        for (Iterator<Deque<Line>> all = idle.values().iterator(); all.hasNext();) {
+            Deque<Line> free = all.next();
+            while (!free.isEmpty() && (now - free.peekFirst().idleSince >= limits.idleClose()
+                    || !free.peekFirst().usable())) {
+                drop(free.pollFirst());
+            }
+            if (free.isEmpty()) {
+                all.remove();
+            }
+        }
+    }
+
+    private boolean dropOldest() {
+        Line oldest = null;
+        for (Deque<Line> free : idle.values()) {
+            Line first = free.peekFirst();
+            oldest = first != null && (oldest == null || first.idleSince < oldest.idleSince) ? first : oldest;
+        }
+        if (oldest != null) {
+            idle.get(oldest.address).remove(oldest);
+            drop(oldest);
+        }
+        return oldest != null;
+    }
+
+    private void drop(Line line) {
+        line.dropped = true;
+        open -= line.counted ? 1 : 0;
+        line.counted = false;
+        if (line.coming != null && line.session == null) {
+            line.coming.cancel(true);
+        }
+        IOSession session = line.session;
+        if (session != null) {
+            session.close(CloseMode.IMMEDIATE);
+        }
+    }
+
+    /** One call on the I/O thread. */
+    private final class Exchange implements AsyncClientExchangeHandler {
+        private final Line line;
+        private final Call call;
+        private final Call.Sink sink;
+        private final ByteBuffer body;
+        private HttpResponse head;
+        private ByteBuffer answer;
+        private boolean ended;
+        private boolean freed;
+
+        Exchange(Line line, Call call, Call.Sink sink) {
+            this.line = line;
+            this.call = call;
+            this.sink = sink;
+            this.body = ByteBuffer.wrap(call.body());
+        }
+
+        Command command() {
+            return new RequestExecutionCommand(this, null, HttpCoreContext.create());
+        }
+
+        void end(Call.Result result) {
+            if (!ended) {
+                ended = true;
+                sink.ended(result);
+            }
+        }
+
+        private void free() {
+            if (!freed) {
+                freed = true;
+                whenFree.accept(line);
+            }
+        }
+
+        @Override
+        public void produceRequest(RequestChannel channel, HttpContext context)
+                throws org.apache.hc.core5.http.HttpException, IOException {
+            BasicHttpRequest request = new BasicHttpRequest(call.method(), call.path());
+            int size = call.method().length() + call.path().length() + " ".length() + " HTTP/1.1\r\n".length() + 2;
+            for (int i = 0; i < call.headers().length; i += 2) {
+                request.addHeader(call.headers()[i], call.headers()[i + 1]);
+                size += call.headers()[i].length() + call.headers()[i + 1].length() + 4;
+            }
+            line.due = line.connection.getEndpointDetails().getSentBytesCount() + size + call.body().length;
+            channel.sendRequest(request, call.body().length == 0 ? null
+                    : new BasicEntityDetails(call.body().length, null), context);
+        }
+
+        @Override
+        public int available() {
+            return body.remaining();
+        }
+
+        @Override
+        public void produce(DataStreamChannel channel) throws IOException {
+            if (body.hasRemaining()) {
+                channel.write(body);
+            }
+            if (!body.hasRemaining()) {
+                channel.endStream(null);
+            }
+        }
+
+        @Override
+        public void consumeInformation(HttpResponse response, HttpContext context) { }
+
+        @Override
+        public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
+            head = response;
+            boolean wanted = response.getCode() == 200 && call.method().equals("GET");
+            if (!wanted || entity == null) {
+                end(result(null));
+            } else {
+                answer = ByteBuffer.allocate(limits.bodyBytes());
+            }
+            if (entity == null) {
+                free();
+            }
+        }
+
+        private Call.Result result(byte[] content) {
+            Header wait = head.getFirstHeader("Retry-After");
+            Header load = head.getFirstHeader("Server-Load");
+            return new Call.Result(head.getCode(), null, micros(wait), head.containsHeader("X-Line-Busy"),
+                    load == null ? null : load.getValue(), content);
+        }
+
+        @Override
+        public void updateCapacity(CapacityChannel channel) throws IOException {
+            channel.update(Integer.MAX_VALUE);
+        }
+
+        @Override
+        public void consume(ByteBuffer source) throws IOException {
+            if (answer != null && !ended) {
+                if (answer.remaining() < source.remaining()) {
+                    int grown = Math.max(2 * answer.capacity(), answer.position() + source.remaining());
+                    if (grown > limits.answerBytes()) {
+                        throw new IOException("answer is too large");
+                    }
+                    answer = ByteBuffer.allocate(grown).put(answer.flip());
+                }
+                answer.put(source);
+            } else {
+                source.position(source.limit());
+            }
+        }
+
+        @Override
+        public void streamEnd(List<? extends Header> trailers) {
+            if (answer != null) {
+                byte[] content = new byte[answer.flip().remaining()];
+                answer.get(content);
+                answer = null;
+                end(result(content));
+            }
+            free();
+        }
+
+        @Override
+        public void failed(Exception cause) {
+            end(Call.Result.none(line.due > 0 && line.allWritten() && body.remaining() == 0 ? Ending.RESET
+                    : Ending.NOT_CONNECTED));
+            IOSession session = line.session;
+            if (session != null) {
+                session.close(CloseMode.IMMEDIATE);
+            }
+            free();
+        }
+
+        @Override
+        public void cancel() {
+            failed(null);
+        }
+
+        @Override
+        public void releaseResources() {
+            if (!ended) {
+                failed(null);
+            }
+        }
+    }
+
+    /** Seconds, whole or decimal, in whole microseconds; 0 where there are none that can be read. */
+    static long micros(Header header) {
+        try {
+            double seconds = header == null ? 0 : Double.parseDouble(header.getValue().strip());
+            return seconds > 0 && seconds < 1e6 ? Math.round(seconds * 1e6) : 0;
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
+    /** An address in numbers, or null: names are not looked up. */
+    public static InetSocketAddress address(String text) {
+        int colon = text == null ? -1 : text.lastIndexOf(':');
+        if (colon <= 0 || !text.substring(0, colon).matches("\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+\\]")) {
+            return null;
+        }
+        try {
+            return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)),
+                    Integer.parseInt(text.substring(colon + 1)));
+        } catch (IOException | IllegalArgumentException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/journal/Journal.java
@@ -0,0 +1,171 @@
+package terndyke.node.journal;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.RandomAccessFile;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32;
+
+import terndyke.node.NodeLog;
+
+/**
+ * The folder that lasts: one file of entries, each with its length and checksum, and for moments a second one that
+ * takes its place. Plain writes, so what was written outlives the process, not the machine.
+ */
+public final class Journal implements Closeable {
+    private static final int FRAME = 8;
+    private static final int BLOCK = 512;
+
+    private final Path current;
+    private final Path next;
+    private final long most;
+    private final NodeLog log;
+    private RandomAccessFile file;
+    private long size;
+    private long liveAtLast; // what the last compaction left
+
+    private Journal(Path folder, long most, NodeLog log) {
+        this.current = folder.resolve("journal");
+        this.next = folder.resolve("journal.next");
+        this.most = most;
+        this.log = log;
+    }
+
+    /** Opens the folder's journal and adds what it holds to the given list; a torn tail is cut off. */
+    public static Journal open(Path folder, long most, NodeLog log, List<Entry> held) throws IOException {
+        Files.createDirectories(folder);
+        Journal journal = new Journal(folder, most, log);
+        Files.deleteIfExists(journal.next); // a compaction that was not finished; the old file holds all
+        journal.file = new RandomAccessFile(journal.current.toFile(), "rw");
+        journal.read(held);
+        return journal;
+    }
+
+    private void read(List<Entry> held) throws IOException {
+        long length = file.length();
+        byte[] bytes = new byte[(int) Math.min(length, Integer.MAX_VALUE - 8)];
+        file.readFully(bytes);
+        ByteBuffer all = ByteBuffer.wrap(bytes);
+        while (all.remaining() > FRAME) {
+            int start = all.position();
+            int entry = all.getInt();
+            int sum = all.getInt();
+            if (entry <= 0 || entry > all.remaining()) {
+                all.position(start);
+                break;
+            }
+            byte[] payload = new byte[entry];
+            all.get(payload);
+            if (checksum(payload) != sum) {
+                all.position(start);
+                break;
+            }
+            try {
+                held.add(EntryCodec.decode(payload));
+            } catch (IOException e) {
+                log.warn("journal: entry at byte " + start + " passed over: " + e.getMessage());
+            }
+        }
+        size = all.position();
+        if (size < length) {
+            log.warn("journal: torn tail of " + (length - size) + " bytes dropped after " + held.size() + " entries");
+            file.setLength(size);
+        }
+        file.seek(size);
+    }
+
+    private static int checksum(byte[] payload) {
+        CRC32 sum = new CRC32();
+        sum.update(payload);
+        return (int) sum.getValue();
+    }
+
+    private static byte[] frame(Entry entry) {
+        byte[] payload = EntryCodec.encode(entry);
+        return ByteBuffer.allocate(FRAME + payload.length).putInt(payload.length).putInt(checksum(payload))
+                .put(payload).array();
+    }
+
+    private static long blocks(long bytes) {
+        return (bytes + BLOCK - 1) / BLOCK * BLOCK;
+    }
+
+    /** How many bytes would still go in, leaving room for a compaction that keeps as much as the given live bytes. */
+    public long room(long live) {
+        return most - blocks(size) - blocks(live);
+    }
+
+    public long size() {
+        return size;
+    }
+
+    /** Appends one entry whole, or not at all. */
+    public void append(Entry entry) throws IOException {
+        byte[] frame = frame(entry);
+        if (blocks(size + frame.length) > most) {
+            throw new IOException("journal is full");
+        }
+        try {
+            file.write(frame);
+            size += frame.length;
+        } catch (IOException e) {
+            file.setLength(size);
+            file.seek(size);
+            throw e;
+        }
+    }
+
+    /** The bytes that an entry takes. */
+    public static int bytes(Entry entry) {
+        return frame(entry).length;
+    }
+
+    /** Replaces the file by one that holds the given entries alone; the old one stays where there is no room. */
+    public boolean compact(Iterable<Entry> live) throws IOException {
+        ByteArrayOutputStream whole = new ByteArrayOutputStream(1 << 16);
+        for (Entry entry : live) {
+            whole.writeBytes(frame(entry));
+        }
+        if (blocks(size) + blocks(whole.size()) > most) {
+            return false;
+        }
+        RandomAccessFile fresh = new RandomAccessFile(next.toFile(), "rw");
+        try {
+            fresh.setLength(0);
+            fresh.write(whole.toByteArray());
+            Files.move(next, current, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        } catch (IOException e) {
+            fresh.close();
+            Files.deleteIfExists(next);
+            throw e;
+        }
+        file.close();
+        file = fresh;
+        size = whole.size();
+        liveAtLast = size;
+        return true;
+    }
+
+    /** What the last compaction left. */
+    public long liveAtLast() {
+        return liveAtLast;
+    }
+
+    /** The entries of a journal, for a look from outside. */
+    static List<Entry> look(Path folder, NodeLog log) throws IOException {
+        List<Entry> held = new ArrayList<>();
+        open(folder, Long.MAX_VALUE, log, held).close();
+        return held;
+    }
+
+    @Override
+    public void close() throws IOException {
+        file.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/stage/Admit.java
@@ -0,0 +1,60 @@
+package terndyke.node.stage;
+
+import terndyke.node.Counters;
+import terndyke.node.Counters.Count;
+import terndyke.node.Limits;
+import terndyke.node.discovery.Catalogue;
+import terndyke.node.http.Handover;
+
+/** Second stage: what cannot be taken on is answered here, before anything is booked or decided. */
+public final class Admit {
+    private final Limits limits;
+    private final Counters counters;
+    private final Catalogue catalogue;
+    private final Book book;
+    private boolean leaving;
+
+    public Admit(Limits limits, Counters counters, Catalogue catalogue, Book book) {
+        this.limits = limits;
+        this.counters = counters;
+        this.catalogue = catalogue;
+        this.book = book;
+    }
+
+    /** From now on nothing new is taken on. */
+    void leave() {
+        leaving = true;
+    }
+
+    /** True where the record goes on to the next stage; otherwise it has had its answer. */
+    boolean admit(Handover handover, long now) {
+        Owed known = book.byId(handover.id());
+        if (known != null) {
+            counters.add(Count.REPEATS);
+            repeat(known, handover.answer());
+        } else if (!catalogue.knows(handover.destination())) {
+            counters.add(Count.MALFORMED);
+            handover.answer().failed(400);
+        } else if (leaving || now - handover.readAt() > limits.answerWithin() || book.held() >= limits.records()
+                || !book.roomFor(handover.body().length)) {
+            counters.add(Count.REFUSED_AT_DOOR);
+            handover.answer().refused(0);
+        } else {
+            return true;
+        }
+        return false;
+    }
+
+    /** A record that is held or was delivered is not taken on twice; one that was handed back may come again. */
+    private static void repeat(Owed known, Handover.Answer answer) {
+        if (known.end == null) {
+            answer.taken();
+        } else {
+            switch (known.end) {
+                case DONE -> answer.delivered();
+                case BOUNCED, WITHDRAWN -> answer.refused(known.wait);
+                default -> answer.failed(500);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -0,0 +1,248 @@
+package terndyke.node.stage;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import terndyke.api.Action;
+import terndyke.api.Event;
+import terndyke.decision.Dispatcher;
+import terndyke.node.Charter;
+import terndyke.node.Counters;
+import terndyke.node.Counters.Count;
+import terndyke.node.Limits;
+import terndyke.node.NodeClock;
+import terndyke.node.NodeLog;
+import terndyke.node.discovery.Catalogue;
+import terndyke.node.discovery.Watch;
+import terndyke.node.http.Call;
+import terndyke.node.http.Calls;
+import terndyke.node.http.Handover;
+import terndyke.node.http.Reactor;
+import terndyke.node.journal.Entry;
+
+/** The decision thread: owns the dispatcher and all records, and passes each through the stages in order. */
+public final class Desk implements Runnable {
+    private static final long LONGEST_SLEEP = 100_000;
+    private static final int WORDS_A_TURN = 256;
+
+    private final Limits limits;
+    private final Counters counters;
+    private final NodeLog log;
+    private final NodeClock clock;
+    private final LinkedBlockingQueue<Word> inbox = new LinkedBlockingQueue<>();
+    private final AtomicInteger handedIn = new AtomicInteger();
+    private final Timers timers = new Timers();
+    private final Map<Long, Owed> fresh = new LinkedHashMap<>(); // taken in this turn
+    private final TakeIn takeIn;
+    private final Admit admit;
+    private final Route route;
+    private final Send send;
+    private final Relay relay;
+    private final Book book;
+    private final Calls calls;
+    private final Catalogue catalogue;
+    private final Watch watch;
+    private final long keyRest;
+    private long sweepAt;
+    private long leaveAt = Long.MAX_VALUE;
+    private volatile boolean over;
+
+    public Desk(Charter charter, Reactor reactor, Catalogue catalogue, Book book, NodeClock clock, Counters counters,
+            NodeLog log) {
+        this.limits = charter.limits();
+        this.counters = counters;
+        this.log = log;
+        this.clock = clock;
+        this.book = book;
+        this.catalogue = catalogue;
+        this.keyRest = charter.terms().keyRest();
+        calls = new Calls(reactor, limits, counters, line -> post(new Word.LineFree(line)));
+        route = new Route(new Dispatcher(charter.terms()));
+        takeIn = new TakeIn(book.lastNumber());
+        admit = new Admit(limits, counters, catalogue, book);
+        send = new Send(limits, counters, catalogue, calls, route, book, timers, charter.reportFields(), this);
+        relay = new Relay(limits, counters, charter.discovery(), calls, route, book, timers, log, this);
+        watch = new Watch(limits, charter.discovery(), catalogue, calls, log,
+                (round, result) -> post(new Word.Watched(round, result)));
+    }
+
+    public long now() {
+        return clock.now();
+    }
+
+    /** Hands a record over from the I/O thread; false where too many wait already. */
+    public boolean handOver(Handover handover) {
+        if (over || handedIn.get() >= limits.inbox()) {
+            return false;
+        }
+        handedIn.incrementAndGet();
+        inbox.add(new Word.Handed(handover));
+        return true;
+    }
+
+    /** Tells the decision thread something; calls and probes that are out bound how much of this can wait. */
+    public void post(Word word) {
+        inbox.add(word);
+    }
+
+    /** The list as it was last held, and what the last life owed, before the thread starts. */
+    public void restore(Event.ListTold known, Collection<Owed> records) {
+        long now = now();
+        route.tell(known);
+        for (Owed owed : records) {
+            counters.add(Count.RESTORED, owed.told ? 0 : 1);
+            send.restore(owed, now);
+            if (!owed.open()) {
+                relay.restore(owed);
+            }
+        }
+        act(now);
+    }
+
+    @Override
+    public void run() {
+        while (!over) {
+            try {
+                turn();
+            } catch (InterruptedException e) {
+                return;
+            } catch (RuntimeException e) {
+                log.warn("decision thread", e);
+            }
+        }
+    }
+
+    private void turn() throws InterruptedException {
+        long now = now();
+        long next = Math.min(timers.first(now + LONGEST_SLEEP), watch.keep(now));
+        Word word = inbox.poll(route.due() ? 0 : Math.max(0, next - now), TimeUnit.MICROSECONDS);
+        now = now();
+        for (int i = 0; word != null; i++) {
+            take(word, now);
+            word = i < WORDS_A_TURN ? inbox.poll() : null;
+        }
+        timers.run(now);
+        act(now);
+        if (now >= sweepAt) {
+            sweepAt = now + 500_000;
+            calls.sweep(now);
+            book.forget(now, Math.max(keyRest, 1_000_000));
+            book.tidy();
+        }
+        over = now >= leaveAt || leaveAt < Long.MAX_VALUE && book.held() == 0 && !relay.owes()
+                && now >= leaveAt - limits.leaveWithin() + limits.leaveLast();
+    }
+
+    private void take(Word word, long now) {
+        if (word instanceof Word.Handed handed) {
+            handedIn.decrementAndGet();
+            handed(handed.handover(), now);
+        } else if (word instanceof Word.ShotOver shot) {
+            send.ended(shot);
+        } else if (word instanceof Word.LineFree free) {
+            calls.free(free.line(), now);
+        } else if (word instanceof Word.ProbeOver probe) {
+            send.ended(probe);
+        } else if (word instanceof Word.Noticed noticed) {
+            relay.noticed(noticed, now);
+        } else if (word instanceof Word.Watched watched) {
+            Event told = watch.answered(watched.round(), watched.result(), now);
+            if (told != null) {
+                counters.add(Count.LISTS_TOLD);
+                route.tell(told);
+            }
+        } else if (word instanceof Word.Left left) {
+            left(left.handover(), now);
+        } else if (word instanceof Word.Leave) {
+            leaveAt = now + limits.leaveWithin();
+            admit.leave();
+            route.tell(new Event.NodeLeaving(limits.leaveWithin()));
+            timers.at(leaveAt, () -> { });
+        }
+    }
+
+    private void handed(Handover handover, long now) {
+        if (admit.admit(handover, now)) {
+            Owed owed = takeIn.take(handover);
+            fresh.put(owed.taken.number(), owed);
+            route.tell(event(owed, now));
+        }
+    }
+
+    static Event.RecordTaken event(Owed owed, long now) {
+        Entry.Taken taken = owed.taken;
+        return new Event.RecordTaken(taken.number(), taken.grade(), taken.tenant(), taken.key(),
+                taken.abandonAt() - now, 0, taken.destination(), owed.again, false, owed.fromDeadNode);
+    }
+
+    /** A client that left before its answer may hand the record in again under another id. */
+    private void left(Handover handover, long now) {
+        Owed owed = book.byId(handover.id());
+        if (owed != null && owed.open()) {
+            counters.add(Count.WITHDRAWN);
+            book.ended(owed, Entry.End.WITHDRAWN, 0);
+            route.tell(new Event.RecordWithdrawn(owed.taken.number()));
+        }
+    }
+
+    /** One turn of the module, and all that it asks for. */
+    private void act(long now) {
+        while (route.due()) {
+            List<Action> actions = route.turn(now);
+            answerFresh(actions);
+            for (Action action : actions) {
+                act(action, now);
+            }
+        }
+        relay.notices(now);
+    }
+
+    /** The records of this turn: bounced at once, or booked and then answered. */
+    private void answerFresh(List<Action> actions) {
+        if (fresh.isEmpty()) {
+            return;
+        }
+        for (Action action : actions) {
+            if (action instanceof Action.Bounce bounce && fresh.containsKey(bounce.id())) {
+                relay.refused(fresh.remove(bounce.id()), bounce.stayAway());
+            } else if (action instanceof Action.Terminate terminate && fresh.containsKey(terminate.id())) {
+                relay.failed(fresh.remove(terminate.id()));
+            }
+        }
+        for (Owed owed : fresh.values()) {
+            if (book.taken(owed)) {
+                relay.taken(owed);
+            } else {
+                relay.refused(owed, 0);
+                route.tell(new Event.RecordWithdrawn(owed.taken.number()));
+            }
+        }
+        fresh.clear();
+    }
+
+    private void act(Action action, long now) {
+        if (action instanceof Action.Shoot shoot && book.byNumber(shoot.id()) != null) {
+            send.shoot(book.byNumber(shoot.id()), shoot.endpoint(), shoot.notPast(), now);
+        } else if (action instanceof Action.Recall recall && book.byNumber(recall.id()) != null) {
+            send.recall(book.byNumber(recall.id()), recall.shot());
+        } else if (action instanceof Action.Bounce bounce && book.byNumber(bounce.id()) != null) {
+            relay.ended(book.byNumber(bounce.id()), Entry.End.BOUNCED, bounce.stayAway());
+        } else if (action instanceof Action.Terminate terminate && book.byNumber(terminate.id()) != null) {
+            relay.ended(book.byNumber(terminate.id()), Entry.End.TERMINATED, 0);
+        } else if (action instanceof Action.Wake wake) {
+            timers.at(now + wake.delay(), () -> route.tell(new Event.Woken(wake.token())));
+        } else if (action instanceof Action.Probe probe) {
+            send.probe(probe.endpoint(), now);
+        } else if (action instanceof Action.DropConnections drop) {
+            send.dropConnections(drop.endpoint());
+        } else if (action instanceof Action.Log line) {
+            log.info(line.text());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/stage/Owed.java
@@ -0,0 +1,50 @@
+package terndyke.node.stage;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import terndyke.api.Ending;
+import terndyke.node.http.Calls;
+import terndyke.node.http.Handover;
+import terndyke.node.journal.Entry;
+
+/** A record that the node has taken on, from the taking until nothing needs it any more. */
+public final class Owed {
+    final Entry.Taken taken;
+    final boolean again;
+    final boolean fromDeadNode;
+    final List<Shot> shots = new ArrayList<>(2);
+    Handover.Answer answer; // until the client has its answer
+    Entry.End end;
+    long wait;
+    boolean told; // nothing is owed any more
+
+    /** One shot; ending is null while it is out. */
+    static final class Shot {
+        final int number;
+        final String endpoint;
+        final int zone;
+        final long firedAt;
+        Ending ending;
+        Calls.Line line;
+
+        Shot(int number, String endpoint, int zone, long firedAt) {
+            this.number = number;
+            this.endpoint = endpoint;
+            this.zone = zone;
+            this.firedAt = firedAt;
+        }
+    }
+
+    Owed(Entry.Taken taken, boolean again, boolean fromDeadNode, Handover.Answer answer) {
+        this.taken = taken;
+        this.again = again;
+        this.fromDeadNode = fromDeadNode;
+        this.answer = answer;
+    }
+
+    /** True while the journal must hold the record's body: it may have to be shot again. */
+    boolean open() {
+        return end == null;
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/stage/Send.java
@@ -0,0 +1,225 @@
+package terndyke.node.stage;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+import terndyke.api.Ending;
+import terndyke.api.Event;
+import terndyke.node.Counters;
+import terndyke.node.Counters.Count;
+import terndyke.node.Limits;
+import terndyke.node.discovery.Catalogue;
+import terndyke.node.http.Call;
+import terndyke.node.http.Calls;
+import terndyke.node.journal.Entry;
+
+/** Fourth stage: shots and probes as calls, and what comes back as events. */
+public final class Send {
+    private static final byte[] NOTHING = new byte[0];
+    private static final float[] NO_REPORT = new float[0];
+
+    private final Limits limits;
+    private final Counters counters;
+    private final Catalogue catalogue;
+    private final Calls calls;
+    private final Route route;
+    private final Book book;
+    private final Timers timers;
+    private final List<String> reportFields;
+    private final Desk desk;
+    private int probesOut;
+
+    public Send(Limits limits, Counters counters, Catalogue catalogue, Calls calls, Route route, Book book,
+            Timers timers, List<String> reportFields, Desk desk) {
+        this.limits = limits;
+        this.counters = counters;
+        this.catalogue = catalogue;
+        this.calls = calls;
+        this.route = route;
+        this.book = book;
+        this.timers = timers;
+        this.reportFields = reportFields;
+        this.desk = desk;
+    }
+
+    /** Books a shot and starts its call. What cannot leave comes back as not sent. */
+    void shoot(Owed owed, long endpoint, long notPast, long now) {
+        Catalogue.Member member = catalogue.member(endpoint);
+        Owed.Shot shot = new Owed.Shot(owed.shots.size(), member == null ? "" : member.uid(),
+                member == null ? 0 : member.zone(), now);
+        owed.shots.add(shot);
+        boolean lawful = member != null && member.destination() == owed.taken.destination() && owed.open()
+                && notPast > now;
+        if (!lawful || !book.fired(owed, shot)) {
+            over(owed, shot, endpoint, Ending.NOT_SENT, now, 0, false, NO_REPORT);
+            return;
+        }
+        counters.add(Count.SHOTS);
+        shot.line = calls.start(member.address(), call(owed, member.address(), notPast - now), now,
+                result -> desk.post(new Word.ShotOver(owed, shot, endpoint, result, desk.now())));
+        if (shot.line == null) {
+            over(owed, shot, endpoint, Ending.NOT_SENT, now, 0, true, NO_REPORT);
+        } else {
+            timers.at(notPast, () -> giveUp(owed, shot, endpoint, Ending.TIMED_OUT));
+        }
+    }
+
+    private static Call call(Owed owed, InetSocketAddress address, long wait) {
+        List<String> headers = new ArrayList<>(List.of("Host", host(address), "Request-Id", owed.taken.id()));
+        if (owed.taken.mark() != null) {
+            headers.addAll(List.of("Idempotency-Key", owed.taken.mark()));
+        }
+        headers.addAll(List.of("Request-Timeout-Ms", Long.toString(Math.max(1, wait / 1000)),
+                "Content-Length", Integer.toString(owed.taken.body().length)));
+        return new Call("POST", "/events", headers.toArray(String[]::new), owed.taken.body());
+    }
+
+    private static String host(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    /** Gives up one shot at the module's word. */
+    void recall(Owed owed, int number) {
+        if (number < owed.shots.size()) {
+            Owed.Shot shot = owed.shots.get(number);
+            Catalogue.Member member = catalogue.member(shot.endpoint);
+            if (member != null) {
+                giveUp(owed, shot, member.number(), Ending.RECALLED);
+            }
+        }
+    }
+
+    private void giveUp(Owed owed, Owed.Shot shot, long endpoint, Ending ending) {
+        if (shot.ending == null && shot.line != null) {
+            boolean neverWhole = calls.neverWhole(shot.line);
+            calls.cancel(shot.line);
+            over(owed, shot, endpoint, neverWhole ? Ending.NOT_CONNECTED : ending, desk.now(), 0, false, NO_REPORT);
+        }
+    }
+
+    /** Takes in how a call ended. */
+    void ended(Word.ShotOver over) {
+        if (over.shot().ending == null) {
+            Call.Result result = over.result();
+            Ending ending = ending(result);
+            if (result.status() == 410) {
+                book.ended(over.owed(), Entry.End.WITHDRAWN, 0);
+            }
+            over(over.owed(), over.shot(), over.endpoint(), ending, over.at(),
+                    ending == Ending.FULL ? result.waitTold() : 0, ending == Ending.NOT_SENT && result.lineBusy(),
+                    report(result.load()));
+        }
+    }
+
+    private void over(Owed owed, Owed.Shot shot, long endpoint, Ending ending, long at, long wait, boolean noSlot,
+            float[] report) {
+        counters.add(Count.valueOf(ending.name()));
+        boolean wasOver = owed.end != null;
+        if (ending == Ending.DONE && !wasOver) {
+            shot.ending = ending;
+            shot.line = null;
+            book.ended(owed, Entry.End.DONE, 0);
+            counters.add(Count.ENDED_DONE);
+        } else {
+            book.shotOver(owed, shot, ending);
+        }
+        route.tell(new Event.ShotEnded(owed.taken.number(), shot.number, endpoint, ending, Math.max(0,
+                at - shot.firedAt), wait, noSlot, owed.end != null, report));
+    }
+
+    /** What an answer means; what cannot be read is an error. */
+    static Ending ending(Call.Result result) {
+        if (result.ending() != null) {
+            return result.ending();
+        }
+        return switch (result.status()) {
+            case 200 -> Ending.DONE;
+            case 429 -> Ending.FULL;
+            case 503 -> result.lineBusy() ? Ending.NOT_SENT : Ending.FULL;
+            case 410, 504 -> Ending.NOT_SENT;
+            default -> Ending.ERROR;
+        };
+    }
+
+    /** A report such as x0=0.4,x1=25 in the order of the terms' fields; empty where it lacks one. */
+    private float[] report(String load) {
+        if (load == null || reportFields.isEmpty()) {
+            return NO_REPORT;
+        }
+        float[] values = new float[reportFields.size()];
+        for (String pair : load.split(",")) {
+            String[] sides = pair.strip().split("=", 2);
+            int place = reportFields.indexOf(sides[0].strip());
+            try {
+                if (place >= 0 && sides.length == 2) {
+                    values[place] = Float.parseFloat(sides[1].strip());
+                }
+            } catch (NumberFormatException e) {
+                return NO_REPORT;
+            }
+        }
+        return values;
+    }
+
+    /** Checks an endpoint by a call of its own. */
+    void probe(long endpoint, long now) {
+        Catalogue.Member member = catalogue.member(endpoint);
+        if (member == null) {
+            return;
+        }
+        Call call = new Call("GET", "/ping", new String[] {"Host", host(member.address())}, NOTHING);
+        Calls.Line[] line = new Calls.Line[1];
+        boolean[] over = new boolean[1];
+        if (probesOut < limits.probes()) {
+            line[0] = calls.start(member.address(), call, now, result ->
+                    desk.post(new Word.ProbeOver(member, now, result, desk.now(), over)));
+        }
+        if (line[0] == null) {
+            route.tell(new Event.ProbeEnded(endpoint, Ending.NOT_SENT, 0, NO_REPORT));
+            return;
+        }
+        probesOut++;
+        counters.add(Count.PROBES);
+        timers.at(now + limits.probeTimeout(), () -> {
+            if (!over[0]) {
+                over[0] = true;
+                probesOut--;
+                calls.cancel(line[0]);
+                route.tell(new Event.ProbeEnded(endpoint, Ending.TIMED_OUT, limits.probeTimeout(), NO_REPORT));
+            }
+        });
+    }
+
+    /** Takes in how a probe ended. */
+    void ended(Word.ProbeOver probe) {
+        if (!probe.over()[0]) {
+            probe.over()[0] = true;
+            probesOut--;
+            route.tell(new Event.ProbeEnded(probe.member().number(), ending(probe.result()),
+                    Math.max(0, probe.at() - probe.firedAt()), report(probe.result().load())));
+        }
+    }
+
+    /** Tells the module what the last life owed and did for it. */
+    void restore(Owed owed, long now) {
+        List<Event.EarlierShot> earlier = new ArrayList<>();
+        for (Owed.Shot shot : owed.shots) {
+            Catalogue.Member member = catalogue.member(shot.endpoint);
+            earlier.add(new Event.EarlierShot(member == null ? -1 : member.number(), shot.zone,
+                    Math.max(0, now - shot.firedAt), shot.ending));
+        }
+        boolean stray = owed.shots.stream().anyMatch(shot -> shot.ending == null);
+        if (owed.open() || !owed.told || stray) {
+            route.tell(new Event.RecordOwed(Desk.event(owed, now), earlier, !owed.open()));
+        }
+    }
+
+    /** Closes the idle connections to an endpoint. */
+    void dropConnections(long endpoint) {
+        Catalogue.Member member = catalogue.member(endpoint);
+        if (member != null) {
+            calls.dropIdle(member.address());
+        }
+    }
+}
