--- a/src/main/java/terndyke/adapter/TermsReader.java
+++ b/src/main/java/terndyke/adapter/TermsReader.java
@@ -30,15 +30,16 @@
             }
             values.put(line.substring(0, equals).strip(), line.substring(equals + 1).strip());
         }
-        return read(seed, values);
+        return read(seed, values, false);
     }
 
     /** Reads settings that are flat already: a list of plain values is joined by commas. */
-    public static DeliveryTerms read(long seed, Map<String, String> values) throws WireException {
-        return new TermsReader(values).terms(seed);
+    public static DeliveryTerms read(long seed, Map<String, String> values, boolean endsTold)
+            throws WireException {
+        return new TermsReader(values).terms(seed, endsTold);
     }
 
-    private DeliveryTerms terms(long seed) throws WireException {
+    private DeliveryTerms terms(long seed, boolean endsTold) throws WireException {
         List<ServiceGrade> grades = new ArrayList<>();
         int count = whole("classes.count");
         for (int i = 0; i < count; i++) {
@@ -61,7 +62,7 @@
                 micros("obligations.stopSendingWithin"), number("obligations.fallMultiple"),
                 micros("obligations.overloadFor"), number("obligations.coldShare"), micros("obligations.cold"),
                 micros("obligations.keyQuiet", 0), micros("obligations.answerSlack"), micros("resolution"),
-                micros("ceilings.connIdle", 0));
+                micros("ceilings.connIdle", 0), endsTold);
     }
 
     private ServiceGrade grade(String at) throws WireException {
--- a/src/main/java/terndyke/api/Event.java
+++ b/src/main/java/terndyke/api/Event.java
@@ -8,7 +8,7 @@
     /** The list of endpoints: the whole of it, or the entries that changed. */
     record ListTold(List<ListedEndpoint> entries, boolean whole) implements Event { }
 
-    /** A call for the list, or the subscription to it, failed; the list held before stays in force. */
+    /** A call for the list, or the subscription to it, failed; for the door alone, as the list stays in force. */
     record ListFailed() implements Event { }
 
     /** A record was taken. Key 0 means none; workHint is 0 where the client gave none. */
--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -1,9 +1,9 @@
 package terndyke.decision;
 
 import java.util.*;
+import java.util.function.Consumer;
 
 import terndyke.api.*;
-import terndyke.api.ListedEndpoint.Standing;
 import terndyke.decision.Held.Call;
 
 /** What limits, waits, falls and returns as one: a route where routes are apart, else a whole destination. */
@@ -16,7 +16,7 @@
     double listedRate, limitTold; // calls a second, as listed and as reported
     private final DeliveryTerms terms;
     private final Random chance;
-    private final StringBuilder log;
+    private final Consumer<String> log;
     final List<Call> out = new ArrayList<>();
     private int fine, failed, refusedInRow, failedInRow; // calls that ended so; the first two halved at times
     private double served, best; // calls done in about one span: now, and surely at best
@@ -28,7 +28,7 @@
     private boolean probeGood;
     long waitUntil;
 
-    Destination(DeliveryTerms terms, Random chance, StringBuilder log) {
+    Destination(DeliveryTerms terms, Random chance, Consumer<String> log) {
         this.chance = chance;
         this.terms = terms;
         this.log = log;
@@ -86,15 +86,13 @@
         return now >= waitUntil && (probeGood || credit >= 1 && (!down() || !terms.probes()));
     }
 
-    /** The route to probe now, where records wait, or null; the call after a good probe overdraws credit. */
-    Route probe(long now) {
-        if (!terms.probes() || !down() || probeGood || admits(now) || now < waitUntil || credit < 1) {
-            return null;
-        }
-        Optional<Route> route = routes.stream().filter(r -> r.standing == Standing.READY
-                && !r.addressee.waiting.isEmpty()).findFirst();
+    /** The route to probe now, where records wait; the call after a good probe overdraws credit. */
+    Optional<Route> probe(long now) {
+        boolean may = terms.probes() && down() && !probeGood && !admits(now) && now >= waitUntil;
+        Optional<Route> route = routes.stream()
+                .filter(r -> may && credit >= 1 && r.ready() && !r.addressee.waiting.isEmpty()).findFirst();
         credit -= route.isPresent() ? 1 : 0;
-        return route.orElse(null);
+        return route;
     }
 
     /** Counts a call that goes out; unpaced calls leave no debt. */
@@ -158,7 +156,7 @@
             failed = 0;
         }
         if (suspect() && (now - cleanAt >= terms.coldFor() || failedAt < suspectAt)) { // warm, or only late
-            log.append("open after ").append((now - suspectAt) / 1000).append(" ms\n");
+            log.accept("open after " + (now - suspectAt) / 1000 + " ms");
             suspectAt = -1;
         }
     }
@@ -204,7 +202,7 @@
             probeGood = false;
             credit = (double) terms.nodeNumber() / terms.nodes(); // nodes take turns by their own number
             creditAt = now;
-            log.append("suspect: ").append(why).append('\n');
+            log.accept("suspect: " + why);
         }
     }
 }
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -3,10 +3,7 @@
 import java.util.*;
 
 import terndyke.api.*;
-import terndyke.api.ListedEndpoint.Standing;
-import terndyke.api.ServiceGrade.Effect;
 import terndyke.decision.Held.*;
-import terndyke.decision.RoutePicker.Fit;
 
 /** The decision module's one entry point: turn() takes what happened and returns what is to be done. Its
  * interface is the package terndyke.api; all decisions are in this package, which knows no protocol.
@@ -17,7 +14,7 @@
 public final class Dispatcher {
     private static final double R_HAT = 0.9;
     private static final double COPY_SHARE = 0.1; // copies that each first shot earns
-    private static final long STEP = 20_000, RETRY_REST = 50_000, SOON = 300_000, LATER = 6_000_000;
+    private static final long STEP = 20_000, RETRY_REST = 100_000, SOON = 300_000, LATER = 6_000_000;
 
     private final DeliveryTerms terms;
     private final Map<Integer, Addressee> addressees = new LinkedHashMap<>();
@@ -26,14 +23,14 @@
     private final Set<Destination> busy = new LinkedHashSet<>(); // with calls out, or suspect
     private final Set<Addressee> queued = new LinkedHashSet<>(); // with records that wait
     private final Map<Long, Held> held = new HashMap<>();
-    private final Map<Long, Held.KeyLine> lines = new HashMap<>();
+    private final Map<Long, KeyLine> lines = new HashMap<>();
     private final TreeSet<Held> byEnd = new TreeSet<>(
             Comparator.comparingLong((Held held) -> held.abandonAt).thenComparingLong(held -> held.id));
     private final Random chance;
-    private final StringBuilder log = new StringBuilder();
     private final Map<Integer, Long> shareUsed = new HashMap<>(); // by tenant: until when
     private List<Action> actions;
-    private long now, wakeAt, brokenAt;
+    private final Map<Long, KeyLine> untold = new HashMap<>(); // by record
+    private long now, wakeAt, brokenAt, leavesAt = Long.MAX_VALUE;
     private int slotsOut, sickOut; // calls out, in all and at sick destinations
     private double copyCredit;
 
@@ -45,9 +42,6 @@
     public List<Action> turn(long time, List<Event> events) {
         now = time;
         actions = new ArrayList<>();
-        if (terms.listOnRequest() && routes.isEmpty()) {
-            actions.add(new Action.FollowList(true));
-        }
         events.forEach(this::take);
         if (now >= wakeAt) {
             tick();
@@ -57,24 +51,25 @@
             wakeAt = now + STEP;
             actions.add(new Action.Wake(STEP, 0));
         }
-        if (log.length() > 0) {
-            actions.add(new Action.Log(log.toString().strip().replace('\n', ';')));
-            log.setLength(0);
-        }
         return actions;
     }
 
     private void take(Event event) {
         if (event instanceof Event.RecordTaken taken) {
             taken(taken);
+            makeRoom();
+        } else if (event instanceof Event.RecordOwed owed) {
+            owed(owed);
         } else if (event instanceof Event.ShotEnded ended) {
             shotEnded(ended);
         } else if (event instanceof Event.ListTold told) {
             listTold(told);
-        } else if (event instanceof Event.ListFailed && terms.listOnRequest()) {
-            actions.add(new Action.FollowList(true));
         } else if (event instanceof Event.ProbeEnded probe && routes.containsKey(probe.endpoint())) {
             routes.get(probe.endpoint()).destination.probeEnded(now, probe.ending(), probe.report());
+        } else if (event instanceof Event.EndTold told && untold.containsKey(told.id())) {
+            untold.remove(told.id()).strays--;
+        } else if (event instanceof Event.NodeLeaving leaving) {
+            leavesAt = now + leaving.within();
         } else if (event instanceof Event.RecordWithdrawn gone && held.containsKey(gone.id())) {
             over(held.get(gone.id()));
         }
@@ -82,7 +77,7 @@
 
     private void listTold(Event.ListTold told) {
         if (told.whole()) {
-            routes.values().forEach(route -> route.standing = Standing.GONE);
+            routes.values().forEach(route -> route.standing = ListedEndpoint.Standing.GONE);
         }
         for (ListedEndpoint entry : told.entries()) {
             Route route = routes.computeIfAbsent(entry.endpoint(), e -> newRoute(entry));
@@ -96,8 +91,8 @@
         int kind = entry.kind();
         addressee.perCall = kind < terms.recordsPerCall().size() ? terms.recordsPerCall().get(kind) : 1;
         boolean apart = kind < terms.routesApart().size() && terms.routesApart().get(kind);
-        Destination destination = apart || addressee.routes.isEmpty() ? new Destination(terms, chance, log)
-                : addressee.routes.get(0).destination;
+        Destination destination = !apart && !addressee.routes.isEmpty() ? addressee.routes.get(0).destination
+                : new Destination(terms, chance, line -> actions.add(new Action.Log(line)));
         Route route = new Route(entry.endpoint(), entry.zone(), addressee, destination,
                 halls.computeIfAbsent(entry.zone(), zone -> new Outcomes()));
         addressee.routes.add(route);
@@ -105,18 +100,40 @@
         return route;
     }
 
-    private void taken(Event.RecordTaken taken) {
+    private Held taken(Event.RecordTaken taken) {
         ServiceGrade grade = terms.grades().get(taken.grade());
         Addressee addressee = addressees.computeIfAbsent(taken.destination(), number -> new Addressee());
         double payoff = grade.payoff() * (withinShare(taken.tenant()) ? 1 : terms.overSharePayoff());
-        Held.KeyLine line = grade.inOrder() && taken.key() != 0
-                ? lines.computeIfAbsent(taken.key(), key -> new Held.KeyLine()) : new Held.KeyLine();
+        KeyLine line = grade.inOrder() && taken.key() != 0
+                ? lines.computeIfAbsent(taken.key(), key -> new KeyLine()) : new KeyLine();
         Held record = new Held(taken, now, grade, addressee, payoff, line);
         held.put(taken.id(), record);
         byEnd.add(record);
         line.records.add(record);
         queue(record, now);
-        makeRoom();
+        return record;
+    }
+
+    /** Guards rules 2 and 5 over any restart: a shot that was out when the last life ended may have run, and
+     * what is over but untold still has its key. May hurt where such a shot never left. */
+    private void owed(Event.RecordOwed owed) {
+        Held record = taken(owed.taken());
+        for (Event.EarlierShot past : owed.shots()) {
+            Route route = new Route(past.endpoint(), past.zone(), record.addressee, null, new Outcomes());
+            Shot shot = new Shot(new Call(route, now - past.age()));
+            shot.ending = past.ending() == null ? Ending.RESET : past.ending();
+            record.shots.add(shot);
+            record.line.shotEnded(record, shot.ending, now, terms.keyRest());
+        }
+        if (owed.ended()) {
+            untold(record);
+            over(record);
+        }
+    }
+
+    /** A final answer that is still to be told: until then the record's key waits. */
+    private void untold(Held record) {
+        record.line.strays += terms.endsTold() && untold.put(record.id, record.line) == null ? 1 : 0;
     }
 
     /** A tenant's records beyond its share of two seconds are worth little; one is always within it. */
@@ -124,9 +141,8 @@
         List<Double> quotas = terms.tenantQuotas();
         long each = tenant < quotas.size() ? (long) (1e6 * terms.nodes() / quotas.get(tenant)) : 0;
         long used = Math.max(shareUsed.getOrDefault(tenant, 0L), now - Math.max(each, 2_000_000));
-        boolean within = used + each <= now;
-        shareUsed.put(tenant, within ? used + each : used);
-        return within;
+        shareUsed.put(tenant, used + each <= now ? used + each : used);
+        return used + each <= now;
     }
 
     /** Holding room: before the door turns records away unseen, the longest queue hands back what can win
@@ -148,9 +164,9 @@
 
     /** The final answer, at once: a bounce where its promise holds, otherwise a termination. */
     private void giveUp(Held record) {
-        long stayAway = Math.min(1_000_000, terms.longestAdvice());
-        actions.add(record.shotsOut == 0 && record.mayBounce() ? new Action.Bounce(record.id, stayAway)
-                : new Action.Terminate(record.id));
+        actions.add(record.shotsOut > 0 || !record.mayBounce() ? new Action.Terminate(record.id)
+                : new Action.Bounce(record.id, Math.min(1_000_000, terms.longestAdvice())));
+        untold(record);
         over(record);
     }
 
@@ -182,8 +198,7 @@
         } else if (now >= record.abandonAt - terms.turn() || record.hopeless(now, terms)) {
             giveUp(record);
         } else if (record.shotsOut == 0) {
-            long rest = ended.ending().provesNotRun() ? 0 : RETRY_REST << Math.min(5, record.shots.size());
-            queue(record, now + rest);
+            queue(record, now + (shot.ending.provesNotRun() ? 0 : RETRY_REST << Math.min(4, ended.shot())));
         }
     }
 
@@ -212,22 +227,16 @@
 
     private void tick() {
         lines.values().removeIf(line -> line.idle(now));
-        while (!byEnd.isEmpty() && byEnd.first().abandonAt <= now + STEP + 2 * terms.turn()) {
-            giveUp(byEnd.first());
-        }
         busy.removeIf(destination -> destination.out.isEmpty() && !destination.suspect());
         long out = busy.stream().filter(destination -> !destination.out.isEmpty()).count();
         long late = busy.stream().filter(destination -> destination.overdue(now) > 0).count();
         String why = late > 2 && 2 * late > out ? null : late + " of " + out + " late"; // or slow everywhere
         for (Destination destination : busy) {
             destination.suspect(now, why, why != null && destination.overdue(now) >= 2);
-            Route route = destination.probe(now);
-            if (route != null) {
-                actions.add(new Action.Probe(route.endpoint));
-            }
+            destination.probe(now).ifPresent(route -> actions.add(new Action.Probe(route.endpoint)));
         }
         for (Held record : List.copyOf(byEnd)) {
-            if (record.hopeless(now, terms)) {
+            if (record.abandonAt <= now + STEP + 2 * terms.turn() || record.hopeless(now, terms)) {
                 giveUp(record);
             } else if (record.shotsOut == 1 && !record.addressee.waiting.contains(record)) {
                 lateShot(record);
@@ -243,12 +252,11 @@
         long age = now - shot.call.firedAt, bound = route.overdueAfter(now);
         boolean crowded = slotsOut >= terms.slots() && age > 3 * bound
                 || 2 * sickOut >= terms.slots() && route.destination.suspect();
-        if (shot.recalled || age <= bound) {
-            return;
-        }
-        boolean elsewhere = record.addressee.routes.stream().anyMatch(other -> other != route
+        boolean late = !shot.recalled && age > bound;
+        boolean elsewhere = late && record.addressee.routes.stream().anyMatch(other -> other != route
                 && !other.destination.sick(now) && usable(other) && record.permits(other, now, terms, shot));
-        if (terms.recalls() && (crowded || !terms.copies() && elsewhere && route.destination.suspect())) {
+        boolean moves = crowded || !terms.copies() && elsewhere && route.destination.suspect();
+        if (late && terms.recalls() && moves) {
             shot.recalled = true;
             actions.add(new Action.Recall(record.id, record.shots.indexOf(shot)));
         } else if (terms.copies() && elsewhere && 4 * slotsOut < 3 * terms.slots() - 3 && copyCredit >= 1) {
@@ -299,7 +307,8 @@
         Destination destination = route.destination;
         boolean capped = route.addressee.sick && 2 * (route.addressee.callsOut + 1) > terms.slots()
                 || 2 * sickOut >= terms.slots() && destination.sick(now) && !destination.suspect();
-        return route.standing == Standing.READY && (joinable(route) || !capped && slotsOut < terms.slots()
+        return route.ready() && now + route.fit(now).m() < leavesAt
+                && (joinable(route) || !capped && slotsOut < terms.slots()
                 && (now >= route.restUntil || destination.suspect()) && destination.admits(now));
     }
 
@@ -314,8 +323,8 @@
                 .sorted(Comparator.comparingInt(route -> route.calls)).toList(); // unsampled ones in turn
         boolean again = record.shotsOut > 0;
         copyCredit = Math.min(terms.slots(), copyCredit + (again ? -1 : COPY_SHARE));
-        Fit[] fits = choice.stream().map(route -> route.fit(now)).toArray(Fit[]::new);
-        boolean pair = terms.copies() && !again && record.grade.effect() != Effect.UNREPEATABLE
+        RoutePicker.Fit[] fits = choice.stream().map(route -> route.fit(now)).toArray(RoutePicker.Fit[]::new);
+        boolean pair = terms.copies() && !again && record.grade.effect() != ServiceGrade.Effect.UNREPEATABLE
                 && record.addressee.perCall == 1 && 2 * (slotsOut + 2) <= terms.slots()
                 && !record.addressee.sick && copyCredit >= 1;
         int set = RoutePicker.pick(fits, record.grade.target(), record.abandonAt - now, R_HAT, pair ? 2 : 1);
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -63,7 +63,7 @@
     /** Rule 5: the records of one key, in the order in which they were taken. */
     static final class KeyLine {
         final ArrayDeque<Held> records = new ArrayDeque<>();
-        private int strays; // shots out for records that are over
+        int strays; // shots out, or an end untold, for records that are over
         private long restUntil;
         private Held restsAfter;
 
--- a/src/main/java/terndyke/decision/Outcomes.java
+++ b/src/main/java/terndyke/decision/Outcomes.java
@@ -3,7 +3,6 @@
 import java.util.*;
 
 import terndyke.api.Ending;
-import terndyke.decision.RoutePicker.Fit;
 
 /** The last fifty outcomes of one route, or of one hall's, each dropped after a minute. */
 final class Outcomes {
@@ -11,7 +10,7 @@
     private static final int KEPT = 50;
 
     private final Deque<Outcome> kept = new ArrayDeque<>(0);
-    private Fit fit;
+    private RoutePicker.Fit fit;
     int answers; // outcomes that are done, and their mean latency
     double usual;
 
@@ -29,25 +28,19 @@
     }
 
     /** The shifted exponential of the kept outcomes, or null where none answered or was waited for. */
-    Fit fit(long now) {
+    RoutePicker.Fit fit(long now) {
         while (!kept.isEmpty() && (kept.size() > KEPT || kept.getFirst().at < now - KEPT_FOR)) {
             kept.removeFirst();
             fit = null;
         }
         if (fit == null && !kept.isEmpty()) {
-            double least = Double.MAX_VALUE, sum = 0;
-            int timed = 0;
-            answers = 0;
-            usual = 0;
-            for (Outcome outcome : kept) {
-                answers += outcome.done ? 1 : 0;
-                usual += outcome.done ? outcome.took : 0;
-                timed += outcome.took >= 0 ? 1 : 0;
-                sum += Math.max(0, outcome.took);
-                least = outcome.took >= 0 ? Math.min(least, outcome.took) : least;
-            }
-            usual /= Math.max(1, answers);
-            fit = timed == 0 ? null : new Fit(least, sum / timed, (double) answers / kept.size());
+            LongSummaryStatistics timed = new LongSummaryStatistics(), done = new LongSummaryStatistics();
+            kept.stream().filter(outcome -> outcome.took >= 0).forEach(outcome -> timed.accept(outcome.took));
+            kept.stream().filter(Outcome::done).forEach(outcome -> done.accept(outcome.took));
+            answers = (int) done.getCount();
+            usual = done.getAverage();
+            fit = timed.getCount() == 0 ? null
+                    : new RoutePicker.Fit(timed.getMin(), timed.getAverage(), (double) answers / kept.size());
         }
         return fit;
     }
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -1,7 +1,6 @@
 package terndyke.decision;
 
-import terndyke.api.Ending;
-import terndyke.api.ListedEndpoint.Standing;
+import terndyke.api.*;
 import terndyke.decision.Held.*;
 import terndyke.decision.RoutePicker.Fit;
 
@@ -15,7 +14,7 @@
     final int zone;
     final Addressee addressee;
     final Destination destination;
-    Standing standing = Standing.READY;
+    ListedEndpoint.Standing standing = ListedEndpoint.Standing.READY;
     Call joinable; // the call of the present turn, which further records may join
     /** Rests after failures, so that one bad endpoint of several costs few shots; hurts if all fail. */
     long restUntil;
@@ -31,6 +30,10 @@
         this.hall = hall;
     }
 
+    boolean ready() {
+        return standing == ListedEndpoint.Standing.READY;
+    }
+
     void learn(long now, Ending ending, long spent) {
         outcomes.add(now, ending, spent);
         hall.add(now, ending, spent);
--- a/src/main/java/terndyke/node/Charter.java
+++ b/src/main/java/terndyke/node/Charter.java
@@ -42,8 +42,9 @@
 
     private static Charter read(Map<String, String> told, Place place) throws IOException, WireException {
         Map<String, String> settings = FlatJson.below("settings", told);
+        settings.computeIfPresent("familyInfo.perCall", (key, each) -> each.replaceAll("\\d+", "1")); // one a call
         String seed = told.getOrDefault("seed", "0");
-        DeliveryTerms terms = TermsReader.read(Long.parseUnsignedLong(seed, 16), settings);
+        DeliveryTerms terms = TermsReader.read(Long.parseUnsignedLong(seed, 16), settings, true);
         Limits limits = Limits.shareOut((int) number(told, "limits.memory_mb", 192),
                 (int) number(told, "limits.sockets", 1024), number(told, "limits.disk_mb", 3), terms.slots(),
                 terms.holdingRoom(), micros(settings, "ceilings.connectTimeout", 1), terms.idleClose());
--- a/src/main/java/terndyke/node/discovery/Watch.java
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -68,7 +68,7 @@
         dueAt = now + limits.resend();
         if (result.status() != 200 || result.body() == null) {
             told(false, "watch broke: status " + result.status() + ", " + result.ending());
-            return new Event.ListFailed();
+            return null;
         }
         try {
             List<String> unread = new ArrayList<>();
@@ -79,7 +79,7 @@
             return list;
         } catch (IOException e) {
             log.warn("list cannot be read: " + e.getMessage());
-            return new Event.ListFailed();
+            return null;
         }
     }
 
--- a/src/main/java/terndyke/node/stage/Book.java
+++ b/src/main/java/terndyke/node/stage/Book.java
@@ -18,7 +18,7 @@
 import terndyke.node.journal.Entry;
 import terndyke.node.journal.Journal;
 
-/** Last stage, and the first for what must be on disk before it happens: what the node owes, here and in the journal. */
+/** Last stage, and first for what must be on disk before it happens: what the node owes, here and in the journal. */
 public final class Book {
     private static final int BESIDE_BODY = 600; // bytes of a record's other entries
 
--- a/src/main/java/terndyke/node/stage/Word.java
+++ b/src/main/java/terndyke/node/stage/Word.java
@@ -20,7 +20,8 @@
     record ShotOver(Owed owed, Owed.Shot shot, long endpoint, Call.Result result, long at) implements Word { }
 
     /** A probe came to an end. */
-    record ProbeOver(Catalogue.Member member, long firedAt, Call.Result result, long at, boolean[] over) implements Word { }
+    record ProbeOver(Catalogue.Member member, long firedAt, Call.Result result, long at, boolean[] over)
+            implements Word { }
 
     /** A connection is free for another call. */
     record LineFree(Calls.Line line) implements Word { }
--- a/src/test/java/terndyke/decision/Given.java
+++ b/src/test/java/terndyke/decision/Given.java
@@ -36,7 +36,7 @@
                 new ServiceGrade(Effect.IDEMPOTENT, true, 0, true, 1_000_000, 0, 10_000_000, 1, 0.5));
         return new DeliveryTerms(1, nodes, nodeNumber, 0, slots, holdingRoom, 6, copies, true, probes, 2_000_000, false, 0, true,
                 false, 0.1, grades, quotas, List.of(false, true), List.of(1, 5), -1, -1, 500_000, 2, 2_000_000,
-                0.2, 10_000_000, 100_000, 20_000, 5_000, 15_000_000);
+                0.2, 10_000_000, 100_000, 20_000, 5_000, 15_000_000, true);
     }
 
     /** Destination 1 with endpoints 11 in zone 0 and 12 in zone 1, of that kind (1: apart, five records a call). */
