--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -41,12 +41,16 @@
         journal = Journal.open(charter.folder(), limits.journalBytes(), log, entries);
         Catalogue catalogue = new Catalogue(charter.zones(), charter.kinds());
         List<String> unread = new ArrayList<>();
-        Event.ListTold known = charter.known().isEmpty() ? new Event.ListTold(List.of(), true)
-                : catalogue.take(charter.known(), unread);
+        Event.ListTold known = new Event.ListTold(List.of(), true);
+        try {
+            known = charter.known().isEmpty() ? known : catalogue.take(charter.known(), unread);
+        } catch (IOException e) {
+            log.warn("known list passed over: " + e.getMessage());
+        }
         unread.forEach(text -> log.warn("known list: " + text));
         Book book = new Book(journal, limits, counters, log);
         Collection<Owed> owed = book.restore(entries);
-        reactor = new Reactor(limits, log);
+        reactor = new Reactor(limits, counters, log);
         reactor.start();
         desk = new Desk(charter, reactor, catalogue, book, clock, counters, log);
         desk.restore(known, owed);
@@ -54,7 +58,7 @@
         thread.start();
         door = new Door(limits, counters, charter.grades(), charter.tenants(), clock::now, () -> ready,
                 desk::handOver, handover -> desk.post(new Word.Left(handover)));
-        reactor.listen(charter.listen(), limits, door::exchange);
+        reactor.listen(charter.listen(), door);
         ready = true;
         log.info("serving on " + charter.listen() + ", " + known.entries().size() + " endpoints known, "
                 + counters.of(Counters.Count.RESTORED) + " records owed from the last life");
--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -23,10 +23,10 @@
         int body = 64 << 10;
         return new Limits(body, 2 << 20, 8 << 10, 64,
                 clients * 7 / 8, clients / 8, calls, Math.max(4, calls / 8),
-                1024, holdingRoom, memoryMb * 1_000_000L / 8, 16 * 1024, 64,
+                1024, holdingRoom, memoryMb * 1_000_000L / 8, (int) Math.min(16 * 1024, disk / 8 / 160), 64,
                 disk, disk / 8,
                 connectTimeout, idleClose <= 0 ? 0 : idleClose * 4 / 5, 5_000_000, 60_000_000, 350_000,
                 4_000_000, 1_500_000, 200_000, 1_500_000,
-                3_000_000, 400_000);
+                2_800_000, 400_000);
     }
 }
--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -62,9 +62,10 @@
         private volatile HttpConnection connection;
         private volatile boolean dropped;
         private Future<IOSession> coming;
-        private Exchange exchange;
+        private volatile Exchange exchange;
+        private volatile boolean last; // the other side closes it
         private long idleSince;
-        private long due; // bytes that the calls so far come to
+        private volatile long due = Long.MAX_VALUE; // bytes that the calls so far come to
         private boolean counted = true;
 
         private Line(InetSocketAddress address) {
@@ -85,8 +86,8 @@
 
         /** True once all bytes of the calls so far have been written to the socket. */
         private boolean allWritten() {
-            return connection != null && connection.getEndpointDetails() != null
-                    && connection.getEndpointDetails().getSentBytesCount() >= due;
+            Exchange on = exchange;
+            return on != null && on.produced && connection.getEndpointDetails().getSentBytesCount() >= due;
         }
     }
 
@@ -142,7 +143,7 @@
 
     /** Takes back a line whose call is over, for the next call where it is still open. */
     public void free(Line line, long now) {
-        if (line.usable() && !line.dropped && limits.idleClose() > 0) {
+        if (line.usable() && !line.dropped && !line.last && limits.idleClose() > 0) {
             line.idleSince = now;
             line.exchange = null;
             idle.computeIfAbsent(line.address, a -> new ArrayDeque<>(4)).addLast(line);
@@ -207,6 +208,7 @@
         private final ByteBuffer body;
         private HttpResponse head;
         private ByteBuffer answer;
+        private volatile boolean produced;
         private boolean ended;
         private boolean freed;
 
@@ -245,6 +247,7 @@
                 size += call.headers()[i].length() + call.headers()[i + 1].length() + 4;
             }
             line.due = line.connection.getEndpointDetails().getSentBytesCount() + size + call.body().length;
+            produced = true;
             channel.sendRequest(request, call.body().length == 0 ? null
                     : new BasicEntityDetails(call.body().length, null), context);
         }
@@ -270,6 +273,8 @@
         @Override
         public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
             head = response;
+            Header connection = response.getFirstHeader("Connection");
+            line.last = connection != null && connection.getValue().equalsIgnoreCase("close");
             boolean wanted = response.getCode() == 200 && call.method().equals("GET");
             if (!wanted || entity == null) {
                 end(result(null));
@@ -322,7 +327,7 @@
 
         @Override
         public void failed(Exception cause) {
-            end(Call.Result.none(line.due > 0 && line.allWritten() && body.remaining() == 0 ? Ending.RESET
+            end(Call.Result.none(line.allWritten() ? Ending.RESET
                     : Ending.NOT_CONNECTED));
             IOSession session = line.session;
             if (session != null) {
--- a/src/main/java/terndyke/node/http/Door.java
+++ b/src/main/java/terndyke/node/http/Door.java
@@ -56,8 +56,8 @@
     }
 
     /** A handler for one request. */
-    public AsyncServerExchangeHandler exchange(HttpRequest request, HttpContext context) {
-        return new Exchange();
+    AsyncServerExchangeHandler exchange(boolean crowded) {
+        return new Exchange(crowded);
     }
 
     private final class Exchange implements AsyncServerExchangeHandler, Handover.Answer {
@@ -69,6 +69,11 @@
         private boolean tooLarge;
         private volatile boolean answered;
         private Handover handover;
+        private final boolean crowded;
+
+        Exchange(boolean crowded) {
+            this.crowded = crowded;
+        }
 
         @Override
         public void handleRequest(HttpRequest head, EntityDetails entity, ResponseChannel responses, HttpContext with)
@@ -135,7 +140,7 @@
             counters.add(Count.REQUESTS_IN);
             try {
                 handover = decode(path);
-                if (!handOver.test(handover)) {
+                if (crowded || !handOver.test(handover)) {
                     counters.add(Count.REFUSED_AT_DOOR);
                     refused(0);
                 }
@@ -227,7 +232,7 @@
             if (retryAfter > 0) {
                 response.addHeader("Retry-After", seconds(retryAfter));
             }
-            if (close || closing) {
+            if (close || closing || crowded) {
                 response.addHeader("Connection", "close");
             }
             text = content == null ? null : ByteBuffer.wrap(content.getBytes(StandardCharsets.UTF_8));
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -2,23 +2,28 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
-import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
-import org.apache.hc.core5.http.nio.HandlerFactory;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.net.NamedEndpoint;
@@ -31,6 +36,8 @@
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
 
+import terndyke.node.Counters;
+import terndyke.node.Counters.Count;
 import terndyke.node.Limits;
 import terndyke.node.NodeLog;
 
@@ -40,10 +47,15 @@
 
     private final DefaultListeningIOReactor reactor;
     private final ClientHttp1StreamDuplexerFactory out;
+    private final Limits limits;
+    private final Counters counters;
     private final NodeLog log;
+    private final AtomicInteger clients = new AtomicInteger();
     private ServerHttp1StreamDuplexerFactory in;
 
-    public Reactor(Limits limits, NodeLog log) {
+    public Reactor(Limits limits, Counters counters, NodeLog log) {
+        this.limits = limits;
+        this.counters = counters;
         this.log = log;
         Http1Config http = http(limits);
         out = new ClientHttp1StreamDuplexerFactory(HttpProcessorBuilder.create().build(), http,
@@ -71,21 +83,68 @@
             line.opened(session, handler);
             return handler;
         }
-        session.setSocketTimeout(Timeout.ofSeconds(60));
-        return new ServerHttp1IOEventHandler(in.create("http", session));
+        return new ClientSide(in.create("http", session));
     }
 
+    /** A client's connection: counted, and closed where it stands still, sooner in the midst of a request. */
+    private final class ClientSide extends ServerHttp1IOEventHandler {
+        ClientSide(ServerHttp1StreamDuplexer duplexer) {
+            super(duplexer);
+        }
+
+        @Override
+        public void connected(IOSession session) throws IOException {
+            counters.add(Count.CLIENT_CONNECTIONS);
+            if (clients.incrementAndGet() > limits.clientConnections() + limits.spareConnections()) {
+                session.close(CloseMode.IMMEDIATE);
+            } else {
+                session.setSocketTimeout(Timeout.ofMicroseconds(limits.clientIdle()));
+                super.connected(session);
+            }
+        }
+
+        @Override
+        public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+            session.setSocketTimeout(Timeout.ofMicroseconds(limits.halfRequest()));
+            super.inputReady(session, source);
+        }
+
+        @Override
+        public void disconnected(IOSession session) {
+            clients.decrementAndGet();
+            super.disconnected(session);
+        }
+    }
+
+    /** True while more clients are connected than are served; those in excess are refused and let go. */
+    boolean crowded() {
+        return clients.get() > limits.clientConnections();
+    }
+
+    private final Http1StreamListener whenAnswered = new Http1StreamListener() {
+        @Override
+        public void onRequestHead(HttpConnection connection, HttpRequest request) { }
+
+        @Override
+        public void onResponseHead(HttpConnection connection, HttpResponse response) { }
+
+        @Override
+        public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
+            connection.setSocketTimeout(Timeout.ofMicroseconds(limits.clientIdle()));
+        }
+    };
+
     public void start() {
         reactor.start();
     }
 
     /** Serves clients on an address from now on. */
-    public void listen(InetSocketAddress address, Limits limits, HandlerFactory<AsyncServerExchangeHandler> door)
-            throws IOException {
-        in = new ServerHttp1StreamDuplexerFactory(HttpProcessorBuilder.create().build(), door, http(limits),
-                CharCodingConfig.DEFAULT, DefaultConnectionReuseStrategy.INSTANCE,
+    public void listen(InetSocketAddress address, Door door) throws IOException {
+        in = new ServerHttp1StreamDuplexerFactory(HttpProcessorBuilder.create().build(),
+                (request, context) -> door.exchange(crowded()), http(limits), CharCodingConfig.DEFAULT,
+                DefaultConnectionReuseStrategy.INSTANCE,
                 new DefaultHttpRequestParserFactory(http(limits)), new DefaultHttpResponseWriterFactory(http(limits)),
-                null, e -> { });
+                whenAnswered, e -> { });
         Future<ListenerEndpoint> listening = reactor.listen(address, DOOR, null);
         try {
             listening.get(10, TimeUnit.SECONDS);
--- a/src/main/java/terndyke/node/journal/Journal.java
+++ b/src/main/java/terndyke/node/journal/Journal.java
@@ -8,7 +8,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.zip.CRC32;
 
@@ -28,7 +27,6 @@
     private final NodeLog log;
     private RandomAccessFile file;
     private long size;
-    private long liveAtLast; // what the last compaction left
 
     private Journal(Path folder, long most, NodeLog log) {
         this.current = folder.resolve("journal");
@@ -148,22 +146,9 @@
         file.close();
         file = fresh;
         size = whole.size();
-        liveAtLast = size;
         return true;
     }
 
-    /** What the last compaction left. */
-    public long liveAtLast() {
-        return liveAtLast;
-    }
-
-    /** The entries of a journal, for a look from outside. */
-    static List<Entry> look(Path folder, NodeLog log) throws IOException {
-        List<Entry> held = new ArrayList<>();
-        open(folder, Long.MAX_VALUE, log, held).close();
-        return held;
-    }
-
     @Override
     public void close() throws IOException {
         file.close();
--- a/src/main/java/terndyke/node/stage/Book.java
+++ b/src/main/java/terndyke/node/stage/Book.java
@@ -20,7 +20,8 @@
 
 /** Last stage, and first for what must be on disk before it happens: what the node owes, here and in the journal. */
 public final class Book {
-    private static final int BESIDE_BODY = 600; // bytes of a record's other entries
+    private static final int BESIDE_BODY = 700; // bytes of a record's other entries, at most
+    private static final int OVER = 160; // bytes of a record that is over
 
     private final Journal journal;
     private final Limits limits;
@@ -127,7 +128,8 @@
         owed.wait = wait;
         owed.told = end == Entry.End.DONE || end == Entry.End.WITHDRAWN;
         held--;
-        live -= owed.taken.body().length;
+        live += OVER - owed.taken.body().length - BESIDE_BODY;
+        owed.dropBody();
         over.addLast(owed);
     }
 
@@ -144,7 +146,7 @@
             if (owed.told && !out && (now > owed.taken.abandonAt() + rest || over.size() > limits.remembered())) {
                 byNumber.remove(owed.taken.number());
                 byId.remove(owed.taken.id(), owed);
-                live -= BESIDE_BODY;
+                live -= OVER;
             } else {
                 over.addLast(owed);
             }
@@ -153,7 +155,7 @@
 
     /** Compacts where the next entries might not leave room for that any more. */
     void tidy() {
-        if (journal.room(live) < limits.journalReserve() && journal.size() > 2 * journal.liveAtLast()) {
+        if (failing || journal.room(live) < limits.journalReserve()) {
             compact();
         }
     }
@@ -174,8 +176,7 @@
         for (Owed owed : byNumber.values()) {
             Entry.Taken taken = owed.taken;
             long number = taken.number();
-            entries.add(owed.open() ? taken : new Entry.Taken(number, taken.id(), taken.grade(), taken.tenant(),
-                    taken.key(), taken.destination(), null, taken.takenAt(), taken.abandonAt(), new byte[0]));
+            entries.add(taken);
             for (Owed.Shot shot : owed.shots) {
                 if (owed.open() || shot.ending == null) {
                     entries.add(new Entry.ShotFired(number, shot.number, shot.endpoint, shot.zone, shot.firedAt));
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -112,8 +112,9 @@
                 turn();
             } catch (InterruptedException e) {
                 return;
-            } catch (RuntimeException e) {
+            } catch (Exception | OutOfMemoryError e) {
                 log.warn("decision thread", e);
+                refuseFresh();
             }
         }
     }
@@ -184,6 +185,12 @@
     /** A client that left before its answer may hand the record in again under another id. */
     private void left(Handover handover, long now) {
         Owed owed = book.byId(handover.id());
+        for (Owed taken : List.copyOf(fresh.values())) {
+            if (taken.answer == handover.answer()) {
+                fresh.remove(taken.taken.number());
+                route.tell(new Event.RecordWithdrawn(taken.taken.number()));
+            }
+        }
         if (owed != null && owed.open()) {
             counters.add(Count.WITHDRAWN);
             book.ended(owed, Entry.End.WITHDRAWN, 0);
@@ -226,9 +233,18 @@
         fresh.clear();
     }
 
+    /** What could not be decided has not been booked, so nothing is owed. */
+    private void refuseFresh() {
+        for (Owed owed : fresh.values()) {
+            relay.refused(owed, 0);
+            route.tell(new Event.RecordWithdrawn(owed.taken.number()));
+        }
+        fresh.clear();
+    }
+
     private void act(Action action, long now) {
-        if (action instanceof Action.Shoot shoot && book.byNumber(shoot.id()) != null) {
-            send.shoot(book.byNumber(shoot.id()), shoot.endpoint(), shoot.notPast(), now);
+        if (action instanceof Action.Shoot shoot) {
+            send.shoot(book.byNumber(shoot.id()), shoot, now);
         } else if (action instanceof Action.Recall recall && book.byNumber(recall.id()) != null) {
             send.recall(book.byNumber(recall.id()), recall.shot());
         } else if (action instanceof Action.Bounce bounce && book.byNumber(bounce.id()) != null) {
--- a/src/main/java/terndyke/node/stage/Owed.java
+++ b/src/main/java/terndyke/node/stage/Owed.java
@@ -10,7 +10,7 @@
 
 /** A record that the node has taken on, from the taking until nothing needs it any more. */
 public final class Owed {
-    final Entry.Taken taken;
+    Entry.Taken taken; // without its body once the record has its end
     final boolean again;
     final boolean fromDeadNode;
     final List<Shot> shots = new ArrayList<>(2);
@@ -43,6 +43,11 @@
         this.answer = answer;
     }
 
+    void dropBody() {
+        taken = new Entry.Taken(taken.number(), taken.id(), taken.grade(), taken.tenant(), taken.key(),
+                taken.destination(), null, taken.takenAt(), taken.abandonAt(), new byte[0]);
+    }
+
     /** True while the journal must hold the record's body: it may have to be shot again. */
     boolean open() {
         return end == null;
--- a/src/main/java/terndyke/node/stage/Send.java
+++ b/src/main/java/terndyke/node/stage/Send.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import terndyke.api.Action;
 import terndyke.api.Ending;
 import terndyke.api.Event;
 import terndyke.node.Counters;
@@ -44,7 +45,13 @@
     }
 
     /** Books a shot and starts its call. What cannot leave comes back as not sent. */
-    void shoot(Owed owed, long endpoint, long notPast, long now) {
+    void shoot(Owed owed, Action.Shoot shoot, long now) {
+        long endpoint = shoot.endpoint();
+        long notPast = shoot.notPast();
+        if (owed == null) {
+            route.tell(new Event.ShotEnded(shoot.id(), 0, endpoint, Ending.NOT_SENT, 0, 0, false, true, NO_REPORT));
+            return;
+        }
         Catalogue.Member member = catalogue.member(endpoint);
         Owed.Shot shot = new Owed.Shot(owed.shots.size(), member == null ? "" : member.uid(),
                 member == null ? 0 : member.zone(), now);
@@ -92,9 +99,10 @@
 
     private void giveUp(Owed owed, Owed.Shot shot, long endpoint, Ending ending) {
         if (shot.ending == null && shot.line != null) {
-            boolean neverWhole = calls.neverWhole(shot.line);
+            // of a record that is over, a connection that was not up in time says nothing of the endpoint
+            boolean notConnected = owed.open() && calls.neverWhole(shot.line);
             calls.cancel(shot.line);
-            over(owed, shot, endpoint, neverWhole ? Ending.NOT_CONNECTED : ending, desk.now(), 0, false, NO_REPORT);
+            over(owed, shot, endpoint, notConnected ? Ending.NOT_CONNECTED : ending, desk.now(), 0, false, NO_REPORT);
         }
     }
 
--- /dev/null
+++ b/src/test/java/terndyke/node/CharterTest.java
@@ -0,0 +1,88 @@
+package terndyke.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import terndyke.api.ServiceGrade.Effect;
+
+class CharterTest {
+    static final String SETTINGS = """
+            {"balancers":2,"rank":1,"zone":0,"dcs":["east","west"],"kinds":["a","b"],"discovery":"push",
+             "weightSource":"rough","resolution":0.005,"overShareWorth":0.1,
+             "familyInfo":{"callsOut":12,"kindApart":[false,true],"perCall":[1,20],"late":"even"},
+             "ceilings":{"maxOpen":40,"maxAttempts":8,"secondCopies":true,"cancelling":true,"probes":true,
+               "retryAfter":true,"maxRetryAfter":2.0,"connectTimeout":0.5,"connIdle":15.0},
+             "report":{"how":"off","fields":[]},
+             "obligations":{"stopSendingWithin":2.0,"fallMultiple":2.0,"overloadFor":2.0,"coldShare":0.2,
+               "cold":11.0,"keyQuiet":0.1,"answerSlack":0.02},
+             "tenants":[{"name":"acme","quotaPerS":34.0,"share":1.0}],
+             "classes":[
+               {"name":"status","target":1.5,"deadline":5.0,"semantics":"retryable","points":3.0,"lateShare":0.0},
+               {"name":"order","target":2.5,"deadline":24.0,"semantics":"dedup","group":"zone","memorySpan":6.0,
+                "serialByKey":true,"points":1.0,"lateShare":0.3},
+               {"name":"payment","target":2.5,"deadline":24.0,"semantics":"fragile","points":1.0}]}""";
+
+    private static Charter read(String json) throws IOException {
+        return Charter.read(json.getBytes(StandardCharsets.UTF_8),
+                new Charter.Place("file", null, null, null, "state"));
+    }
+
+    private static String whole(String settings) {
+        return "{\"name\":\"n3\",\"listen\":\"127.0.0.1:8443\",\"discovery\":\"127.0.0.1:8500\",\"seed\":"
+                + "\"8c1f30d27a5be964\",\"limits\":{\"memory_mb\":192,\"sockets\":1024,\"disk_mb\":3},\"known\":"
+                + "{\"rev\":4,\"all\":true,\"targets\":[{\"uid\":\"s-1\"}]},\"settings\":" + settings + "}";
+    }
+
+    @Test
+    void aConfigurationIsReadWhole() throws IOException {
+        Charter charter = read(whole(SETTINGS));
+        assertEquals(List.of("status", "order", "payment"), charter.grades());
+        assertEquals(List.of("acme"), charter.tenants());
+        assertEquals(List.of("east", "west"), charter.zones());
+        assertEquals(0x8c1f30d27a5be964L, charter.terms().seed());
+        assertEquals(Effect.DEDUPLICATED, charter.terms().grades().get(1).effect());
+        assertEquals(List.of(false, true), charter.terms().routesApart());
+        assertEquals(List.of(1, 1), charter.terms().recordsPerCall(), "one record travels in a call");
+        assertEquals("s-1", charter.known().get("targets.0.uid"));
+        assertEquals(500_000, charter.limits().connectTimeout());
+        assertTrue(charter.limits().idleClose() < 15_000_000);
+    }
+
+    @Test
+    void whatCannotBeReadIsToldInOneLine() {
+        for (String json : List.of("", "[]", "{", "{}", "{} {}", whole("{}"), whole(SETTINGS.replace("2.0", "\"x\"")),
+                whole(SETTINGS).replace("8c1f30d27a5be964", "no seed"),
+                whole(SETTINGS).replace("127.0.0.1:8443", "some.host:8443"), whole(SETTINGS).replace(":8500", ""))) {
+            IOException told = assertThrows(IOException.class, () -> read(json), json);
+            assertTrue(told.getMessage() != null && !told.getMessage().isBlank());
+        }
+    }
+
+    @Test
+    void listsAndObjectsAreFlattenedAsTheWireDoes() throws IOException {
+        Map<String, String> flat = FlatJson.read("{\"a\":{\"b\":[1,2],\"c\":[{\"d\":true}],\"e\":[],\"f\":null}}"
+                .getBytes(StandardCharsets.UTF_8));
+        assertEquals(Map.of("a.b", "1,2", "a.c.0.d", "true", "a.c.count", "1", "a.e", "", "a.e.count", "0"), flat);
+    }
+
+    @Test
+    void limitsStayWithinWhatTheMachineGrants() {
+        for (int sockets : new int[] {128, 256, 1024, 4096}) {
+            for (int slots : new int[] {1, 33, 400}) {
+                Limits limits = Limits.shareOut(192, sockets, 3, slots, 468, 1_500_000, 15_000_000);
+                assertTrue(limits.clientConnections() + limits.spareConnections() + limits.endpointConnections()
+                        < sockets);
+                assertTrue(limits.journalBytes() <= 3_000_000);
+                assertTrue(limits.heldBytes() <= 192_000_000 / 4);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -0,0 +1,328 @@
+package terndyke.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+
+import terndyke.node.Counters.Count;
+
+/** A whole node on loopback, between stand-ins for an endpoint, discovery and the platform. */
+class DeliveryNodeTest {
+    private static final int SILENT = 0;
+
+    /** A call as the endpoint got it. */
+    private record Arrived(String id, String mark, String body) { }
+
+    private final BlockingQueue<Arrived> arrived = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
+    private final AtomicInteger noticesToDrop = new AtomicInteger();
+    private final ExecutorService threads = Executors.newFixedThreadPool(16);
+    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(5)).build();
+    private volatile Function<Arrived, Integer> verdict = call -> 200;
+    private volatile String list = "";
+    private HttpServer endpoint;
+    private HttpServer discovery;
+    private InetSocketAddress listen;
+    private DeliveryNode node;
+
+    @TempDir
+    Path folder;
+
+    @BeforeEach
+    void start() throws IOException {
+        endpoint = server("/events", this::event);
+        discovery = server("/", this::tell);
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            listen = new InetSocketAddress(free.getInetAddress(), free.getLocalPort());
+        }
+    }
+
+    private HttpServer server(String path, com.sun.net.httpserver.HttpHandler handler) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 50);
+        server.setExecutor(threads);
+        server.createContext(path, handler);
+        server.start();
+        return server;
+    }
+
+    private void event(HttpExchange call) throws IOException {
+        Arrived one = new Arrived(call.getRequestHeaders().getFirst("Request-Id"),
+                call.getRequestHeaders().getFirst("Idempotency-Key"),
+                new String(call.getRequestBody().readAllBytes(), StandardCharsets.UTF_8));
+        int status = verdict.apply(one);
+        arrived.add(one);
+        if (status != SILENT) {
+            call.sendResponseHeaders(status, -1);
+            call.close();
+        }
+    }
+
+    private void tell(HttpExchange call) throws IOException {
+        byte[] body = call.getRequestBody().readAllBytes();
+        if (call.getRequestURI().getPath().equals("/v2/finals")) {
+            boolean drop = noticesToDrop.getAndDecrement() > 0;
+            if (!drop) {
+                notices.addAll(new String(body, StandardCharsets.UTF_8).lines().toList());
+            }
+            call.sendResponseHeaders(drop ? 500 : 204, -1);
+        } else if (list.isEmpty()) {
+            return; // a watch that nothing answers
+        } else {
+            byte[] told = list.getBytes(StandardCharsets.UTF_8);
+            list = "";
+            call.sendResponseHeaders(200, told.length);
+            call.getResponseBody().write(told);
+        }
+        call.close();
+    }
+
+    private String target(String uid, int destination) {
+        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"127.0.0.1:" + endpoint.getAddress().getPort()
+                + "\",\"az\":\"east\",\"model\":\"a\",\"pod_group\":" + destination
+                + ",\"state\":\"active\",\"capacity_hint\":50,\"boot_ms\":0}";
+    }
+
+    private String charter(double diskMb) {
+        return "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + listen.getPort() + "\",\"discovery\":\"127.0.0.1:"
+                + discovery.getAddress().getPort() + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":192,\"sockets\":1024,"
+                + "\"disk_mb\":" + diskMb + "},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + target("s-1", 3)
+                + "]},\"settings\":" + CharterTest.SETTINGS + "}";
+    }
+
+    private void serve(double diskMb) throws IOException {
+        Charter charter = Charter.read(charter(diskMb).getBytes(StandardCharsets.UTF_8),
+                new Charter.Place("file", null, null, null, folder.toString()));
+        node = new DeliveryNode(charter, new NodeLog(new PrintStream(PrintStream.nullOutputStream()), "test"));
+        node.start();
+    }
+
+    @AfterEach
+    void stop() {
+        if (node != null) {
+            node.close();
+        }
+        endpoint.stop(0);
+        discovery.stop(0);
+        threads.shutdownNow();
+    }
+
+    private HttpRequest.Builder request(String grade, String id) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + listen.getPort() + "/" + grade))
+                .timeout(Duration.ofSeconds(5)).header("Request-Id", id).header("Tenant", "acme")
+                .header("Request-Timeout-Ms", "4000").header("X-Consignee", "dest=3")
+                .header("Cookie", "key=7f3a9c21e0b4d655").header("Idempotency-Key", "mark-" + id);
+    }
+
+    private int send(HttpRequest.Builder request, String body) throws IOException, InterruptedException {
+        return http.send(request.POST(HttpRequest.BodyPublishers.ofString(body)).build(),
+                HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    private int hand(String grade, String id) throws IOException, InterruptedException {
+        return send(request(grade, id), "body of " + id);
+    }
+
+    private <T> T next(BlockingQueue<T> queue) throws InterruptedException {
+        return queue.poll(8, TimeUnit.SECONDS);
+    }
+
+    private int health() throws IOException, InterruptedException {
+        return http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + listen.getPort() + "/_health"))
+                .timeout(Duration.ofSeconds(5)).build(), HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    @Test
+    void aRecordIsTakenOnAndDeliveredUnchanged() throws Exception {
+        serve(3);
+        assertEquals(200, health());
+        assertEquals(202, hand("status", "r-1"));
+        assertEquals(new Arrived("r-1", "mark-r-1", "body of r-1"), next(arrived));
+        assertNull(notices.poll());
+    }
+
+    @Test
+    void aRepeatOfADeliveredRecordIsAnsweredAsDelivered() throws Exception {
+        serve(3);
+        hand("status", "r-1");
+        assertNotNull(next(arrived));
+        for (int i = 0; i < 50 && node.counters().of(Count.ENDED_DONE) == 0; i++) {
+            Thread.sleep(20);
+        }
+        assertEquals(200, hand("status", "r-1"));
+        assertEquals(0, arrived.size());
+    }
+
+    @Test
+    void whatCannotBeReadIsAnsweredAndTheNodeGoesOn() throws Exception {
+        serve(3);
+        assertEquals(400, hand("unheard-of", "r-1"));
+        assertEquals(400, send(request("status", "r-2").setHeader("Tenant", "nobody"), ""));
+        assertEquals(400, send(request("status", "r-3").setHeader("X-Consignee", "dest=99"), ""));
+        assertEquals(400, send(request("status", "r-4").setHeader("X-Consignee", "where"), ""));
+        assertEquals(400, send(request("status", "r-5").setHeader("Request-Timeout-Ms", "soon"), ""));
+        assertEquals(400, send(request("status", ""), ""));
+        assertEquals(413, send(request("status", "r-6"), "x".repeat((64 << 10) + 1)));
+        for (String raw : List.of("\r\n\r\n\r\n", "GET\r\n\r\n", "POST /status HTTP/1.1\r\nContent-Length: -4\r\n\r\n",
+                "POST /status HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf", "\u0000\u0001\u0002 / \r\n\r\n")) {
+            try (Socket socket = new Socket(listen.getAddress(), listen.getPort())) {
+                socket.getOutputStream().write(raw.getBytes(StandardCharsets.ISO_8859_1));
+            }
+        }
+        assertEquals(200, health());
+        assertEquals(202, hand("status", "r-7"));
+        assertEquals("r-7", next(arrived).id());
+    }
+
+    @Test
+    void anEndThatIsNotADeliveryIsToldUntilItIsAnswered() throws Exception {
+        verdict = call -> 500;
+        noticesToDrop.set(2);
+        serve(3);
+        assertEquals(202, hand("payment", "r-1"));
+        assertEquals("{\"ref\":\"r-1\",\"result\":\"dead\"}", next(notices));
+        assertEquals(1, arrived.size(), "what may have run is not sent again");
+    }
+
+    @Test
+    void whatTheEndpointTurnsAwayIsTriedAgain() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        verdict = call -> calls.incrementAndGet() == 1 ? 503 : 200;
+        serve(3);
+        assertEquals(202, hand("payment", "r-1"));
+        assertNotNull(next(arrived));
+        assertEquals("r-1", next(arrived).id());
+    }
+
+    @Test
+    void aJournalWithoutRoomRefusesAndTheNodeGoesOn() throws Exception {
+        verdict = call -> SILENT;
+        serve(0.3);
+        List<Integer> answers = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            answers.add(send(request("order", "r-" + i), "x".repeat(40_000)));
+        }
+        assertEquals(202, answers.get(0));
+        assertEquals(503, answers.get(5));
+        assertEquals(200, health());
+        assertTrue(Files.size(folder.resolve("journal")) < 300_000);
+    }
+
+    @Test
+    void whatDiscoveryTellsIsInForce() throws Exception {
+        list = "{\"rev\":2,\"all\":false,\"targets\":[" + target("s-2", 8) + "]}";
+        serve(3);
+        for (int i = 0; i < 100 && node.counters().of(Count.LISTS_TOLD) == 0; i++) {
+            Thread.sleep(20);
+        }
+        assertEquals(202, send(request("status", "r-1").setHeader("X-Consignee", "dest=8"), ""));
+        assertEquals("r-1", next(arrived).id());
+    }
+
+    @Test
+    void aNodeThatLeavesRefusesWhatIsNewAndLeavesTheRestOwed() throws Exception {
+        verdict = call -> 503;
+        serve(3);
+        assertEquals(202, hand("order", "r-1"));
+        assertNotNull(next(arrived));
+        Thread leaving = new Thread(node::close);
+        leaving.start();
+        Thread.sleep(200);
+        assertEquals(503, hand("order", "r-2"));
+        assertEquals(503, health());
+        leaving.join(4_000);
+        assertFalse(leaving.isAlive());
+        assertNull(notices.poll());
+        verdict = call -> 200;
+        arrived.clear();
+        serve(3);
+        assertEquals("r-1", next(arrived).id());
+    }
+
+    @Test
+    void aKilledNodeStillOwesWhatItTookOnUnderEachEffect() throws Exception {
+        verdict = call -> SILENT;
+        Path file = folder.resolve("charter.json");
+        Files.writeString(file, charter(3));
+        Process first = process(file);
+        for (String grade : List.of("status", "order", "payment")) {
+            assertEquals(202, hand(grade, grade));
+            assertEquals(grade, next(arrived).id());
+        }
+        first.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
+        arrived.clear();
+        verdict = call -> 200;
+        Process second = process(file);
+        try {
+            assertEquals("{\"ref\":\"payment\",\"result\":\"dead\"}", next(notices), "it may have run: no second shot");
+            List<String> again = new ArrayList<>(List.of(next(arrived).id(), next(arrived).id()));
+            again.sort(null);
+            assertEquals(List.of("order", "status"), again);
+            int repeat = hand("status", "status");
+            for (int i = 0; i < 100 && repeat == 202; i++) { // held until its answer is read
+                Thread.sleep(20);
+                repeat = hand("status", "status");
+            }
+            assertEquals(200, repeat, "a repeat is answered as delivered");
+            assertEquals(0, arrived.size());
+            second.destroy();
+            assertTrue(second.waitFor(4, TimeUnit.SECONDS));
+            assertEquals(0, second.exitValue());
+        } finally {
+            second.destroyForcibly();
+        }
+    }
+
+    private Process process(Path file) throws Exception {
+        Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "terndyke.Main", "serve", "--config", file.toString(), "--state",
+                folder.resolve("state").toString()).redirectErrorStream(true)
+                .redirectOutput(folder.resolve("log").toFile()).start();
+        for (int i = 0; i < 400; i++) {
+            try (Socket socket = new Socket(listen.getAddress(), listen.getPort());
+                    OutputStream out = socket.getOutputStream()) {
+                out.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                if (new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).endsWith("200")) {
+                    return process;
+                }
+            } catch (IOException e) {
+                Thread.sleep(25);
+            }
+        }
+        throw new IllegalStateException("the node does not serve: " + Files.readString(folder.resolve("log")));
+    }
+}
--- /dev/null
+++ b/src/test/java/terndyke/node/discovery/CatalogueTest.java
@@ -0,0 +1,69 @@
+package terndyke.node.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import terndyke.api.Event;
+import terndyke.api.ListedEndpoint;
+import terndyke.api.ListedEndpoint.Standing;
+
+class CatalogueTest {
+    private final Catalogue catalogue = new Catalogue(List.of("east", "west"), List.of("a", "b"));
+    private final List<String> unread = new ArrayList<>();
+
+    private Event.ListTold take(int rev, boolean all, String... targets) throws IOException {
+        String json = "{\"rev\":" + rev + ",\"all\":" + all + ",\"targets\":[" + String.join(",", targets) + "]}";
+        return catalogue.take(json.getBytes(StandardCharsets.UTF_8), unread);
+    }
+
+    private static String target(String uid, String endpoint, String state) {
+        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"" + endpoint + "\",\"az\":\"west\",\"model\":\"b\",\"pod_group\":3,"
+                + "\"state\":\"" + state + "\",\"capacity_hint\":7.5,\"boot_ms\":12}";
+    }
+
+    @Test
+    void anEntryIsReadWhole() throws IOException {
+        Event.ListTold told = take(41, true, target("s-1", "127.0.0.9:8443", "active"));
+        assertTrue(told.whole());
+        assertEquals(List.of(new ListedEndpoint(0, 1, 1, 7.5f, Standing.READY, 12_000, 3)), told.entries());
+        assertEquals(41, catalogue.version());
+        assertTrue(catalogue.knows(3));
+        assertFalse(catalogue.knows(4));
+    }
+
+    @Test
+    void anEndpointKeepsItsNumberAndTakesItsNewAddress() throws IOException {
+        take(1, true, target("s-1", "127.0.0.9:1", "active"), target("s-2", "127.0.0.9:2", "active"));
+        Event.ListTold told = take(2, false, target("s-2", "127.0.0.9:3", "leaving"));
+        assertFalse(told.whole());
+        assertEquals(1, told.entries().get(0).endpoint());
+        assertEquals(Standing.DRAINING, told.entries().get(0).standing());
+        assertEquals(3, catalogue.member("s-2").address().getPort());
+    }
+
+    @Test
+    void anEntryThatCannotBeReadIsPassedOver() throws IOException {
+        Event.ListTold told = take(1, true, target("s-1", "some.host:1", "active"),
+                target("s-2", "127.0.0.9:2", "asleep"), "{}", target("s-3", "127.0.0.9:3", "active"));
+        assertEquals(1, told.entries().size());
+        assertEquals(3, unread.size());
+    }
+
+    @Test
+    void anAnswerThatIsNoListIsAnExceptionThatIsExpected() {
+        for (String json : List.of("", "{", "[]", "{\"all\":true}", "{\"rev\":\"x\"}")) {
+            assertThrows(IOException.class,
+                    () -> catalogue.take(json.getBytes(StandardCharsets.UTF_8), unread), json);
+        }
+        assertEquals(0, catalogue.version());
+    }
+}
--- /dev/null
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -0,0 +1,203 @@
+package terndyke.node.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import terndyke.api.Ending;
+import terndyke.node.Counters;
+import terndyke.node.Counters.Count;
+import terndyke.node.Limits;
+import terndyke.node.NodeLog;
+
+/** Calls against an endpoint on loopback that does, connection by connection, what the test says. */
+class CallsTest {
+    private static final byte[] BODY = "content".getBytes(StandardCharsets.US_ASCII);
+    private static final String ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+    private final Counters counters = new Counters();
+    private final BlockingQueue<Call.Result> results = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Calls.Line> free = new LinkedBlockingQueue<>();
+    private final Limits limits = Limits.shareOut(192, 1024, 3, 8, 40, 400_000, 1_000_000);
+    private ServerSocket endpoint;
+    private Reactor reactor;
+    private Calls calls;
+
+    @BeforeEach
+    void start() throws IOException {
+        NodeLog log = new NodeLog(new PrintStream(PrintStream.nullOutputStream()), "test");
+        endpoint = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
+        endpoint.setSoTimeout(5_000);
+        reactor = new Reactor(limits, counters, log);
+        reactor.start();
+        calls = new Calls(reactor, limits, counters, free::add);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        endpoint.close();
+        reactor.close();
+    }
+
+    private InetSocketAddress address() {
+        return new InetSocketAddress(endpoint.getInetAddress(), endpoint.getLocalPort());
+    }
+
+    private Calls.Line call(byte[] body, long now) {
+        return calls.start(address(), new Call("POST", "/events", new String[] {"Host", "x", "Content-Length",
+            Integer.toString(body.length)}, body), now, results::add);
+    }
+
+    private Call.Result result() throws InterruptedException {
+        return results.poll(5, TimeUnit.SECONDS);
+    }
+
+    private static String request(Socket from) throws IOException {
+        StringBuilder text = new StringBuilder();
+        InputStream in = from.getInputStream();
+        while (text.indexOf("\r\n\r\n") < 0 || !text.toString().endsWith("content")) {
+            text.append((char) in.read());
+        }
+        return text.toString();
+    }
+
+    private static void answer(Socket to, String answer) throws IOException {
+        to.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+        to.getOutputStream().flush();
+    }
+
+    @Test
+    void anAnswerComesBackAndTheConnectionServesTheNextCall() throws Exception {
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            assertTrue(request(connection).startsWith("POST /events HTTP/1.1\r\n"));
+            answer(connection, ANSWER);
+            assertEquals(200, result().status());
+            calls.free(free.poll(5, TimeUnit.SECONDS), 0);
+            call(BODY, 1000);
+            request(connection);
+            answer(connection, "HTTP/1.1 429 Slow\r\nRetry-After: 0.25\r\nServer-Load: x0=0.5\r\n"
+                    + "Content-Length: 0\r\n\r\n");
+            Call.Result second = result();
+            assertEquals(429, second.status());
+            assertEquals(250_000, second.waitTold());
+            assertEquals("x0=0.5", second.load());
+        }
+        assertEquals(1, counters.of(Count.CONNECTIONS_OPENED));
+    }
+
+    @Test
+    void aRefusedConnectionShowsThatNothingRan() throws Exception {
+        InetSocketAddress nobody = address();
+        endpoint.close();
+        calls.start(nobody, new Call("POST", "/events", new String[0], BODY), 0, results::add);
+        assertEquals(Ending.NOT_CONNECTED, result().ending());
+    }
+
+    @Test
+    void aConnectionThatBreaksAfterTheLastByteMayHaveRun() throws Exception {
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+        }
+        assertEquals(Ending.RESET, result().ending());
+    }
+
+    @Test
+    void aConnectionThatBreaksBeforeTheLastByteShowsThatNothingRan() throws Exception {
+        endpoint.setReceiveBufferSize(4096);
+        call(new byte[8 << 20], 0); // far more than the sockets hold
+        try (Socket connection = endpoint.accept()) {
+            connection.getInputStream().read();
+            connection.setSoLinger(true, 0);
+        }
+        assertEquals(Ending.NOT_CONNECTED, result().ending());
+    }
+
+    @Test
+    void anAnswerThatCannotBeReadIsNoEndOfTheNode() throws Exception {
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, "what is this?\r\n\r\n");
+        }
+        assertEquals(Ending.RESET, result().ending());
+    }
+
+    @Test
+    void givingUpClosesTheConnection() throws Exception {
+        Calls.Line line = call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            assertFalse(calls.neverWhole(line));
+            calls.cancel(line);
+            connection.setSoTimeout(5_000);
+            int end;
+            try {
+                end = connection.getInputStream().read();
+            } catch (java.net.SocketException e) {
+                end = -1; // a reset is a closing too
+            }
+            assertEquals(-1, end);
+        }
+    }
+
+    @Test
+    void aConnectionIsNotUsedPastItsIdleTime() throws Exception {
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, ANSWER);
+            result();
+            calls.free(free.poll(5, TimeUnit.SECONDS), 0);
+            call(BODY, limits.idleClose());
+            try (Socket second = endpoint.accept()) {
+                request(second);
+                answer(second, ANSWER);
+                assertEquals(200, result().status());
+            }
+        }
+    }
+
+    @Test
+    void aConnectionThatTheOtherSideClosesIsNotUsedAgain() throws Exception {
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, "HTTP/1.1 503 Full\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(503, result().status());
+            calls.free(free.poll(5, TimeUnit.SECONDS), 0);
+            call(BODY, 0);
+            try (Socket second = endpoint.accept()) {
+                request(second);
+                answer(second, ANSWER);
+                assertEquals(200, result().status());
+            }
+        }
+    }
+
+    @Test
+    void connectionsAreBounded() {
+        for (int i = 0; i < limits.endpointConnections(); i++) {
+            assertTrue(call(BODY, 0) != null);
+        }
+        assertNull(call(BODY, 0));
+    }
+}
