--- a/src/main/java/terndyke/node/discovery/Catalogue.java
+++ b/src/main/java/terndyke/node/discovery/Catalogue.java
@@ -20,6 +20,7 @@
     private final Map<String, Member> byName = new HashMap<>();
     private final List<Member> byNumber = new ArrayList<>();
     private final Map<Integer, Integer> destinations = new HashMap<>();
+    private final List<InetSocketAddress> left = new ArrayList<>();
     private long version;
 
     /** One endpoint: its number is for this life of the node alone. */
@@ -89,7 +90,7 @@
         List<ListedEndpoint> entries = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             try {
-                entries.add(entry(told, "targets." + i + "."));
+                entries.add(entry(told, "targets." + i + ".", entries));
             } catch (IllegalArgumentException e) {
                 unread.add("entry " + i + ": " + e.getMessage());
             }
@@ -98,12 +99,27 @@
         return new Event.ListTold(entries, Boolean.parseBoolean(told.get("all")));
     }
 
+    private void leave(Member member, List<ListedEndpoint> entries) {
+        ListedEndpoint was = member.listed;
+        member.listed = new ListedEndpoint(was.endpoint(), was.zone(), was.kind(), was.rate(), Standing.GONE,
+                was.joined(), was.destination());
+        entries.add(member.listed);
+        left.add(member.address);
+    }
+
+    /** The addresses that endpoints have left since the last call. */
+    public List<InetSocketAddress> left() {
+        List<InetSocketAddress> since = List.copyOf(left);
+        left.clear();
+        return since;
+    }
+
     /** Takes in an answer as it came over the socket. */
     public Event.ListTold take(byte[] json, List<String> unread) throws IOException {
         return take(FlatJson.read(json), unread);
     }
 
-    private ListedEndpoint entry(Map<String, String> told, String at) {
+    private ListedEndpoint entry(Map<String, String> told, String at, List<ListedEndpoint> entries) {
         String uid = told.get(at + "uid");
         InetSocketAddress address = Calls.address(told.get(at + "endpoint"));
         Standing standing = switch (String.valueOf(told.get(at + "state"))) {
@@ -113,15 +129,23 @@
             default -> throw new IllegalArgumentException("unknown state " + told.get(at + "state"));
         };
         Member known = uid == null ? null : byName.get(uid);
+        String group = told.get(at + "pod_group");
+        if (known != null && group != null && Integer.parseInt(group) != known.destination()) {
+            leave(known, entries); // its number stays with its old destination
+            known = null;
+        }
         if (uid == null || address == null && (known == null || standing == Standing.READY)) {
             throw new IllegalArgumentException("no uid or no address in numbers");
         }
-        int destination = known != null ? known.destination() : Integer.parseInt(told.get(at + "pod_group"));
+        int destination = known != null ? known.destination() : Integer.parseInt(group);
         Member member = known != null ? known : new Member(uid, byNumber.size());
         float rate = Float.parseFloat(told.getOrDefault(at + "capacity_hint", "0"));
         member.listed = new ListedEndpoint(member.number, Math.max(0, zones.indexOf(told.get(at + "az"))),
                 Math.max(0, kinds.indexOf(told.get(at + "model"))), Float.isFinite(rate) ? rate : 0, standing,
                 Long.parseLong(told.getOrDefault(at + "boot_ms", "0")) * 1000, destination);
+        if (member.address != null && (standing == Standing.GONE || !member.address.equals(address))) {
+            left.add(member.address);
+        }
         member.address = address != null ? address : member.address;
         if (known == null) {
             byName.put(uid, member);
--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -30,6 +30,7 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.Command;
 import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.Timeout;
 
 import terndyke.api.Ending;
 import terndyke.node.Counters;
@@ -211,6 +212,7 @@
         private volatile boolean produced;
         private boolean ended;
         private boolean freed;
+        private int passedOver; // bytes of an answer that nobody wants
 
         Exchange(Line line, Call call, Call.Sink sink) {
             this.line = line;
@@ -248,6 +250,7 @@
             }
             line.due = line.connection.getEndpointDetails().getSentBytesCount() + size + call.body().length;
             produced = true;
+            line.session.setSocketTimeout(Timeout.DISABLED);
             channel.sendRequest(request, call.body().length == 0 ? null
                     : new BasicEntityDetails(call.body().length, null), context);
         }
@@ -273,6 +276,7 @@
         @Override
         public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
             head = response;
+            line.session.setSocketTimeout(Timeout.ofMicroseconds(limits.halfRequest())); // for the rest of the answer
             Header connection = response.getFirstHeader("Connection");
             line.last = connection != null && connection.getValue().equalsIgnoreCase("close");
             boolean wanted = response.getCode() == 200 && call.method().equals("GET");
@@ -309,6 +313,8 @@
                     answer = ByteBuffer.allocate(grown).put(answer.flip());
                 }
                 answer.put(source);
+            } else if ((passedOver += source.remaining()) > limits.answerBytes()) {
+                throw new IOException("answer does not end");
             } else {
                 source.position(source.limit());
             }
--- a/src/main/java/terndyke/node/http/Door.java
+++ b/src/main/java/terndyke/node/http/Door.java
@@ -85,8 +85,8 @@
                 tooLarge();
             } else if (entity == null) {
                 whole();
-            } else if (entity.getContentLength() > 0) {
-                body = ByteBuffer.allocate((int) entity.getContentLength());
+            } else if (head.containsHeader("Expect")) {
+                channel.sendInformation(new BasicHttpResponse(100), context);
             }
         }
 
--- a/src/main/java/terndyke/node/journal/Journal.java
+++ b/src/main/java/terndyke/node/journal/Journal.java
@@ -19,6 +19,8 @@
  */
 public final class Journal implements Closeable {
     private static final int FRAME = 8;
+    private static final int LEAST = 9; // an entry's type and number
+    private static final int MOST = 1 << 17; // more than a body and its headers can come to
     private static final int BLOCK = 512;
 
     private final Path current;
@@ -50,27 +52,22 @@
         byte[] bytes = new byte[(int) Math.min(length, Integer.MAX_VALUE - 8)];
         file.readFully(bytes);
         ByteBuffer all = ByteBuffer.wrap(bytes);
-        while (all.remaining() > FRAME) {
-            int start = all.position();
-            int entry = all.getInt();
-            int sum = all.getInt();
-            if (entry <= 0 || entry > all.remaining()) {
-                all.position(start);
-                break;
+        for (int at = 0; at + FRAME < bytes.length; at++) {
+            byte[] payload = payload(all, at);
+            if (payload == null) {
+                continue; // a torn tail, or a damaged entry before others that are whole
             }
-            byte[] payload = new byte[entry];
-            all.get(payload);
-            if (checksum(payload) != sum) {
-                all.position(start);
-                break;
+            if (at > size) {
+                log.warn("journal: " + (at - size) + " damaged bytes passed over at byte " + size);
             }
             try {
                 held.add(EntryCodec.decode(payload));
             } catch (IOException e) {
-                log.warn("journal: entry at byte " + start + " passed over: " + e.getMessage());
+                log.warn("journal: entry at byte " + at + " passed over: " + e.getMessage());
             }
+            size = at + FRAME + payload.length;
+            at = (int) size - 1;
         }
-        size = all.position();
         if (size < length) {
             log.warn("journal: torn tail of " + (length - size) + " bytes dropped after " + held.size() + " entries");
             file.setLength(size);
@@ -78,6 +75,17 @@
         file.seek(size);
     }
 
+    /** The payload of the whole entry that begins there, or null where none does. */
+    private static byte[] payload(ByteBuffer all, int at) {
+        int length = all.getInt(at);
+        if (length < LEAST || length > MOST || length > all.capacity() - at - FRAME) {
+            return null;
+        }
+        byte[] payload = new byte[length];
+        all.get(at + FRAME, payload);
+        return checksum(payload) == all.getInt(at + 4) ? payload : null;
+    }
+
     private static int checksum(byte[] payload) {
         CRC32 sum = new CRC32();
         sum.update(payload);
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -49,6 +49,7 @@
     private final Catalogue catalogue;
     private final Watch watch;
     private final long keyRest;
+    private final int grades;
     private long sweepAt;
     private long leaveAt = Long.MAX_VALUE;
     private volatile boolean over;
@@ -62,6 +63,7 @@
         this.book = book;
         this.catalogue = catalogue;
         this.keyRest = charter.terms().keyRest();
+        this.grades = charter.terms().grades().size();
         calls = new Calls(reactor, limits, counters, line -> post(new Word.LineFree(line)));
         route = new Route(new Dispatcher(charter.terms()));
         takeIn = new TakeIn(book.lastNumber());
@@ -95,8 +97,13 @@
     public void restore(Event.ListTold known, Collection<Owed> records) {
         long now = now();
         route.tell(known);
-        for (Owed owed : records) {
+        for (Owed owed : List.copyOf(records)) {
             counters.add(Count.RESTORED, owed.told ? 0 : 1);
+            if (owed.taken.grade() >= grades) {
+                log.warn("journal: a record of an unknown service grade, ended without its delivery");
+                relay.ended(owed, Entry.End.TERMINATED, 0);
+                continue;
+            }
             send.restore(owed, now);
             if (!owed.open()) {
                 relay.restore(owed);
@@ -157,6 +164,7 @@
             if (told != null) {
                 counters.add(Count.LISTS_TOLD);
                 route.tell(told);
+                catalogue.left().forEach(calls::dropIdle);
             }
         } else if (word instanceof Word.Left left) {
             left(left.handover(), now);
--- a/src/test/java/terndyke/node/discovery/CatalogueTest.java
+++ b/src/test/java/terndyke/node/discovery/CatalogueTest.java
@@ -50,6 +50,16 @@
         assertEquals(3, catalogue.member("s-2").address().getPort());
     }
 
+    @Test
+    void anEndpointOfAnotherDestinationIsAnotherEndpoint() throws IOException {
+        take(1, true, target("s-1", "127.0.0.9:1", "active"));
+        Event.ListTold told = take(2, false, target("s-1", "127.0.0.9:1", "active").replace(":3,", ":5,"));
+        assertEquals(List.of(Standing.GONE, Standing.READY), told.entries().stream().map(e -> e.standing()).toList());
+        assertEquals(List.of(3, 5), told.entries().stream().map(e -> e.destination()).toList());
+        assertEquals(3, catalogue.member(0).destination());
+        assertEquals(1, catalogue.left().size());
+    }
+
     @Test
     void anEntryThatCannotBeReadIsPassedOver() throws IOException {
         Event.ListTold told = take(1, true, target("s-1", "some.host:1", "active"),
--- a/src/test/java/terndyke/node/http/CallsTest.java
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -193,6 +193,27 @@
         }
     }
 
+    @Test
+    void anAnswerWithoutEndIsLetGoAndItsOutcomeCounts() throws Exception {
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n");
+            assertEquals(200, result().status());
+            byte[] endless = new byte[1 << 16];
+            try {
+                for (int i = 0; i < 1000; i++) {
+                    connection.getOutputStream().write(endless);
+                }
+            } catch (IOException e) {
+                // closed by the node, as it should be
+            }
+        }
+        Calls.Line line = free.poll(5, TimeUnit.SECONDS);
+        assertTrue(line != null);
+        assertTrue(results.isEmpty());
+    }
+
     @Test
     void connectionsAreBounded() {
         for (int i = 0; i < limits.endpointConnections(); i++) {
