--- a/src/main/java/terndyke/node/Charter.java
+++ b/src/main/java/terndyke/node/Charter.java
@@ -29,7 +29,11 @@
         if (place.folder() == null) {
             throw new IOException("no folder for what must last is named");
         }
-        return read(Files.readAllBytes(Path.of(place.file())), place);
+        try {
+            return read(Files.readAllBytes(Path.of(place.file())), place);
+        } catch (IOException e) {
+            throw new IOException("configuration " + place.file() + " cannot be read: " + e.getMessage(), e);
+        }
     }
 
     static Charter read(byte[] json, Place place) throws IOException {
--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -38,7 +38,11 @@
         Limits limits = charter.limits();
         NodeClock clock = new NodeClock();
         List<Entry> entries = new ArrayList<>();
-        journal = Journal.open(charter.folder(), limits.journalBytes(), log, entries);
+        try {
+            journal = Journal.open(charter.folder(), limits.journalBytes(), log, entries);
+        } catch (IOException e) {
+            throw new IOException("no journal can be kept in " + charter.folder() + ": " + e.getMessage(), e);
+        }
         Catalogue catalogue = new Catalogue(charter.zones(), charter.kinds());
         List<String> unread = new ArrayList<>();
         Event.ListTold known = new Event.ListTold(List.of(), true);
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -24,6 +24,7 @@
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.net.NamedEndpoint;
@@ -52,6 +53,7 @@
     private final NodeLog log;
     private final AtomicInteger clients = new AtomicInteger();
     private ServerHttp1StreamDuplexerFactory in;
+    private volatile boolean closing;
 
     public Reactor(Limits limits, Counters counters, NodeLog log) {
         this.limits = limits;
@@ -63,7 +65,8 @@
         IOReactorConfig io = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoReuseAddress(true)
                 .setSelectInterval(TimeValue.ofMilliseconds(100)).setBacklogSize(256).build();
         reactor = new DefaultListeningIOReactor(this::handler, io, work -> thread(work, "terndyke-io"),
-                work -> thread(work, "terndyke-accept"), null, e -> log.warn("I/O", e), null, null);
+                work -> thread(work, "terndyke-accept"), null, this::failed, null,
+                ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK);
     }
 
     private static Http1Config http(Limits limits) {
@@ -171,7 +174,17 @@
         }, address, null, Timeout.ofMicroseconds(timeout), line, callback);
     }
 
-    public void close() {
+    private void failed(Exception cause) {
+        if (!closing) {
+            log.warn("I/O", cause);
+        }
+    }
+
+    /** Closes idle connections in good order, waits a little for what is under way, and ends. */
+    public void close() throws InterruptedException {
+        closing = true;
+        reactor.initiateShutdown();
+        reactor.awaitShutdown(TimeValue.ofMicroseconds(limits.leaveLast() / 2));
         reactor.close(CloseMode.IMMEDIATE);
     }
 }
--- a/src/main/java/terndyke/node/stage/Relay.java
+++ b/src/main/java/terndyke/node/stage/Relay.java
@@ -31,6 +31,7 @@
     private final Set<Owed> owing = new LinkedHashSet<>();
     private long round;
     private boolean out;
+    private boolean silent;
     private Calls.Line line;
     private long restUntil;
 
@@ -110,18 +111,22 @@
         out = line != null;
         counters.add(Count.NOTICES_SENT, out ? batch.size() : 0);
         if (!out) {
-            rest(now);
+            unanswered("no socket", now);
             return;
         }
         timers.at(now + 5 * limits.resend(), () -> {
             if (out && round == sent) {
                 calls.cancel(line);
-                rest(desk.now());
+                unanswered("silence", desk.now());
             }
         });
     }
 
-    private void rest(long now) {
+    private void unanswered(String why, long now) {
+        if (!silent) {
+            silent = true;
+            log.warn("notices unanswered: " + owing.size() + " owed, " + why);
+        }
         out = false;
         round++;
         restUntil = now + limits.resend();
@@ -155,12 +160,15 @@
         int status = noticed.result().status();
         if (status == 204 || status == 200) {
             noticed.told().forEach(this::told);
+            if (silent) {
+                silent = false;
+                log.info("notices are answered again, " + owing.size() + " owed");
+            }
         } else if (status == 400 && noticed.told().size() == 1) {
             log.warn("notice cannot be read by the platform: " + line(noticed.told().get(0)));
             noticed.told().forEach(this::told);
         } else {
-            log.warn("notices unanswered: " + noticed.told().size() + ", status " + status);
-            rest(now);
+            unanswered("status " + status, now);
         }
     }
 
--- a/src/test/java/terndyke/node/http/CallsTest.java
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -51,7 +51,7 @@
     }
 
     @AfterEach
-    void stop() throws IOException {
+    void stop() throws IOException, InterruptedException {
         endpoint.close();
         reactor.close();
     }
