--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -117,15 +117,19 @@
                 + ",\"state\":\"active\",\"capacity_hint\":50,\"boot_ms\":0}";
     }
 
-    private String charter(double diskMb) {
+    private String charter(double diskMb, int sockets) {
         return "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + listen.getPort() + "\",\"discovery\":\"127.0.0.1:"
-                + discovery.getAddress().getPort() + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":192,\"sockets\":1024,"
-                + "\"disk_mb\":" + diskMb + "},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + target("s-1", 3)
+                + discovery.getAddress().getPort() + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":192,\"sockets\":"
+                + sockets + ",\"disk_mb\":" + diskMb + "},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + target("s-1", 3)
                 + "]},\"settings\":" + CharterTest.SETTINGS + "}";
     }
 
     private void serve(double diskMb) throws IOException {
-        Charter charter = Charter.read(charter(diskMb).getBytes(StandardCharsets.UTF_8),
+        serve(diskMb, 1024);
+    }
+
+    private void serve(double diskMb, int sockets) throws IOException {
+        Charter charter = Charter.read(charter(diskMb, sockets).getBytes(StandardCharsets.UTF_8),
                 new Charter.Place("file", null, null, null, folder.toString()));
         node = new DeliveryNode(charter, new NodeLog(new PrintStream(PrintStream.nullOutputStream()), "test"));
         node.start();
@@ -242,6 +246,29 @@
         assertTrue(Files.size(folder.resolve("journal")) < 300_000);
     }
 
+    @Test
+    void clientsBeyondTheLimitAreAnsweredAndLetGo() throws Exception {
+        serve(3, 64);
+        List<Socket> idle = new ArrayList<>();
+        try {
+            for (int i = 0; i < Limits.shareOut(192, 64, 3, 12, 40, 1, 1).clientConnections(); i++) {
+                idle.add(new Socket(listen.getAddress(), listen.getPort()));
+            }
+            for (int i = 0; i < 100 && node.counters().of(Count.CLIENT_CONNECTIONS) < idle.size(); i++) {
+                Thread.sleep(20);
+            }
+            HttpResponse<Void> answer = http.send(request("status", "r-1").POST(
+                    HttpRequest.BodyPublishers.ofString("x")).build(), HttpResponse.BodyHandlers.discarding());
+            assertEquals(503, answer.statusCode());
+            assertEquals("close", answer.headers().firstValue("Connection").orElse(""));
+        } finally {
+            for (Socket socket : idle) {
+                socket.close();
+            }
+        }
+        assertEquals(0, arrived.size());
+    }
+
     @Test
     void whatDiscoveryTellsIsInForce() throws Exception {
         list = "{\"rev\":2,\"all\":false,\"targets\":[" + target("s-2", 8) + "]}";
@@ -277,7 +304,7 @@
     void aKilledNodeStillOwesWhatItTookOnUnderEachEffect() throws Exception {
         verdict = call -> SILENT;
         Path file = folder.resolve("charter.json");
-        Files.writeString(file, charter(3));
+        Files.writeString(file, charter(3, 1024));
         Process first = process(file);
         for (String grade : List.of("status", "order", "payment")) {
             assertEquals(202, hand(grade, grade));
