--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -5,13 +5,14 @@
  * microseconds, sizes are bytes.
  */
 public record Limits(
-        int bodyBytes, int answerBytes, int lineBytes, int headers,
-        int clientConnections, int spareConnections, int endpointConnections, int probes,
-        int inbox, int records, long heldBytes, int remembered, int noticesTogether,
+        int bodyBytes, int answerBytes, int lineBytes, int headers, int idChars, int bufferBytes,
+        int clientConnections, int spareConnections, int backlog, int endpointConnections, int probes,
+        int inbox, int wordsATurn, int records, long heldBytes, int remembered, int noticesTogether,
         long journalBytes, long journalReserve,
         long connectTimeout, long idleClose, long halfRequest, long clientIdle, long answerWithin,
-        long watchWait, long watchSlack, long resend, long probeTimeout,
-        long leaveWithin, long leaveLast) {
+        long watchWait, long watchSlack, long resend, long unanswered, long probeTimeout, long unbooked,
+        long longestRecord, long longestSleep, long selectEvery, long sweepEvery, long rememberFor,
+        long startWithin, long leaveWithin, long leaveLast) {
 
     /** Shares out a machine's memory, descriptors and disk, with the terms' bounds on calls and records. */
     public static Limits shareOut(int memoryMb, int sockets, double diskMb, int slots, int holdingRoom,
@@ -20,13 +21,14 @@
         int calls = Math.max(8, Math.min(descriptors / 2, 8 * slots));
         int clients = Math.max(16, Math.min(descriptors - calls - 8, memoryMb * 2));
         long disk = Math.max(64 << 10, (long) (diskMb * 1_000_000) - (16 << 10));
-        int body = 64 << 10;
-        return new Limits(body, 2 << 20, 8 << 10, 64,
-                clients * 7 / 8, clients / 8, calls, Math.max(4, calls / 8),
-                1024, holdingRoom, memoryMb * 1_000_000L / 8, (int) Math.min(16 * 1024, disk / 8 / 160), 64,
+        int remembered = (int) Math.min(16 * 1024, disk / 8 / 160);
+        return new Limits(64 << 10, 2 << 20, 8 << 10, 64, 200, 4 << 10,
+                clients * 7 / 8, clients / 8, 256, calls, Math.max(4, calls / 8),
+                1024, 256, holdingRoom, memoryMb * 1_000_000L / 8, remembered, 64,
                 disk, disk / 8,
                 connectTimeout, idleClose <= 0 ? 0 : idleClose * 4 / 5, 5_000_000, 60_000_000, 350_000,
-                4_000_000, 1_500_000, 200_000, 1_500_000,
-                2_800_000, 400_000);
+                4_000_000, 1_500_000, 200_000, 1_000_000, 1_500_000, 1_000_000,
+                86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
+                10_000_000, 2_800_000, 400_000);
     }
 }
--- a/src/main/java/terndyke/node/http/Door.java
+++ b/src/main/java/terndyke/node/http/Door.java
@@ -162,14 +162,14 @@
                 throw new IllegalArgumentException("unknown service grade");
             }
             String id = text("Request-Id");
-            if (id == null || id.isEmpty() || id.length() > 200) {
+            if (id == null || id.isEmpty() || id.length() > limits.idChars()) {
                 throw new IllegalArgumentException("Request-Id is missing or too long");
             }
             int tenant = tenants.isEmpty() ? 0 : tenants.indexOf(text("Tenant"));
             if (tenant < 0) {
                 throw new IllegalArgumentException("unknown tenant");
             }
-            long remaining = number(text("Request-Timeout-Ms"), "Request-Timeout-Ms", 86_400_000L);
+            long remaining = number(text("Request-Timeout-Ms"), "Request-Timeout-Ms", limits.longestRecord() / 1000);
             String consignee = text("X-Consignee");
             String dest = consignee == null ? null : field(consignee, "dest", ",|;|\\s");
             long destination = number(dest, "X-Consignee", 1 << 24);
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -63,14 +63,15 @@
         out = new ClientHttp1StreamDuplexerFactory(HttpProcessorBuilder.create().build(), http,
                 CharCodingConfig.DEFAULT);
         IOReactorConfig io = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoReuseAddress(true)
-                .setSelectInterval(TimeValue.ofMilliseconds(100)).setBacklogSize(256).build();
+                .setSelectInterval(TimeValue.ofMicroseconds(limits.selectEvery()))
+                .setBacklogSize(limits.backlog()).build();
         reactor = new DefaultListeningIOReactor(this::handler, io, work -> thread(work, "terndyke-io"),
                 work -> thread(work, "terndyke-accept"), null, this::failed, null,
                 ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK);
     }
 
     private static Http1Config http(Limits limits) {
-        return Http1Config.custom().setBufferSize(4096).setMaxLineLength(limits.lineBytes())
+        return Http1Config.custom().setBufferSize(limits.bufferBytes()).setMaxLineLength(limits.lineBytes())
                 .setMaxHeaderCount(limits.headers()).setInitialWindowSize(limits.bodyBytes()).build();
     }
 
@@ -150,7 +151,7 @@
                 whenAnswered, e -> { });
         Future<ListenerEndpoint> listening = reactor.listen(address, DOOR, null);
         try {
-            listening.get(10, TimeUnit.SECONDS);
+            listening.get(limits.startWithin(), TimeUnit.MICROSECONDS);
         } catch (ExecutionException | TimeoutException e) {
             throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
         } catch (InterruptedException e) {
--- a/src/main/java/terndyke/node/stage/Book.java
+++ b/src/main/java/terndyke/node/stage/Book.java
@@ -32,6 +32,8 @@
     private final Deque<Owed> over = new ArrayDeque<>(); // in the order of their ends
     private int held;
     private long live; // bytes that a compaction would keep, about
+    private long promised; // bytes of what was admitted and is not booked yet
+    private int admitted;
     private boolean failing;
 
     public Book(Journal journal, Limits limits, Counters counters, NodeLog log) {
@@ -75,20 +77,34 @@
         return byNumber.get(number);
     }
 
+    /** Records that are held, with those that were admitted in this turn. */
     int held() {
-        return held;
+        return held + admitted;
     }
 
-    /** Is there room for one more record, with all that may have to be booked for it? */
+    /** Is there room for one more record, with all that may have to be booked for it? Then it is set aside. */
     boolean roomFor(int body) {
-        boolean room = !failing && live + body + BESIDE_BODY < limits.journalBytes() * 2 / 5
-                && live < limits.heldBytes();
-        if (!room) {
+        long then = live + promised + body + BESIDE_BODY;
+        boolean room = !failing && then < limits.journalBytes() * 2 / 5 && then < limits.heldBytes();
+        if (room && journal.room(then) < limits.journalReserve() && journal.room(live) >= 0) {
+            compact();
+        }
+        room = room && journal.room(then) >= limits.journalReserve();
+        if (room) {
+            promised += body + BESIDE_BODY;
+            admitted++;
+        } else {
             counters.add(Count.JOURNAL_REFUSALS);
         }
         return room;
     }
 
+    /** All that was admitted in this turn has been booked or refused. */
+    void settled() {
+        promised = 0;
+        admitted = 0;
+    }
+
     /** Books a record that is taken on; false where that failed and nothing is owed. */
     boolean taken(Owed owed) {
         if (!write(owed.taken, limits.journalReserve())) {
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -28,9 +28,6 @@
 
 /** The decision thread: owns the dispatcher and all records, and passes each through the stages in order. */
 public final class Desk implements Runnable {
-    private static final long LONGEST_SLEEP = 100_000;
-    private static final int WORDS_A_TURN = 256;
-
     private final Limits limits;
     private final Counters counters;
     private final NodeLog log;
@@ -128,19 +125,19 @@
 
     private void turn() throws InterruptedException {
         long now = now();
-        long next = Math.min(timers.first(now + LONGEST_SLEEP), watch.keep(now));
+        long next = Math.min(timers.first(now + limits.longestSleep()), watch.keep(now));
         Word word = inbox.poll(route.due() ? 0 : Math.max(0, next - now), TimeUnit.MICROSECONDS);
         now = now();
         for (int i = 0; word != null; i++) {
             take(word, now);
-            word = i < WORDS_A_TURN ? inbox.poll() : null;
+            word = i < limits.wordsATurn() ? inbox.poll() : null;
         }
         timers.run(now);
         act(now);
         if (now >= sweepAt) {
-            sweepAt = now + 500_000;
+            sweepAt = now + limits.sweepEvery();
             calls.sweep(now);
-            book.forget(now, Math.max(keyRest, 1_000_000));
+            book.forget(now, Math.max(keyRest, limits.rememberFor()));
             book.tidy();
         }
         over = now >= leaveAt || leaveAt < Long.MAX_VALUE && book.held() == 0 && !relay.owes()
@@ -220,10 +217,7 @@
 
     /** The records of this turn: bounced at once, or booked and then answered. */
     private void answerFresh(List<Action> actions) {
-        if (fresh.isEmpty()) {
-            return;
-        }
-        for (Action action : actions) {
+        for (Action action : fresh.isEmpty() ? List.<Action>of() : actions) {
             if (action instanceof Action.Bounce bounce && fresh.containsKey(bounce.id())) {
                 relay.refused(fresh.remove(bounce.id()), bounce.stayAway());
             } else if (action instanceof Action.Terminate terminate && fresh.containsKey(terminate.id())) {
@@ -239,6 +233,7 @@
             }
         }
         fresh.clear();
+        book.settled();
     }
 
     /** What could not be decided has not been booked, so nothing is owed. */
@@ -248,6 +243,7 @@
             route.tell(new Event.RecordWithdrawn(owed.taken.number()));
         }
         fresh.clear();
+        book.settled();
     }
 
     private void act(Action action, long now) {
--- a/src/main/java/terndyke/node/stage/Relay.java
+++ b/src/main/java/terndyke/node/stage/Relay.java
@@ -114,7 +114,7 @@
             unanswered("no socket", now);
             return;
         }
-        timers.at(now + 5 * limits.resend(), () -> {
+        timers.at(now + limits.unanswered(), () -> {
             if (out && round == sent) {
                 calls.cancel(line);
                 unanswered("silence", desk.now());
--- a/src/main/java/terndyke/node/stage/Send.java
+++ b/src/main/java/terndyke/node/stage/Send.java
@@ -58,10 +58,15 @@
         owed.shots.add(shot);
         boolean lawful = member != null && member.destination() == owed.taken.destination() && owed.open()
                 && notPast > now;
-        if (!lawful || !book.fired(owed, shot)) {
+        if (!lawful) {
             over(owed, shot, endpoint, Ending.NOT_SENT, now, 0, false, NO_REPORT);
             return;
         }
+        if (!book.fired(owed, shot)) { // after a while, lest a full disk uses up all shots of a record at once
+            timers.at(now + limits.unbooked(),
+                    () -> over(owed, shot, endpoint, Ending.NOT_SENT, desk.now(), 0, true, NO_REPORT));
+            return;
+        }
         counters.add(Count.SHOTS);
         shot.line = calls.start(member.address(), call(owed, member.address(), notPast - now), now,
                 result -> desk.post(new Word.ShotOver(owed, shot, endpoint, result, desk.now())));
@@ -177,35 +182,46 @@
             return;
         }
         Call call = new Call("GET", "/ping", new String[] {"Host", host(member.address())}, NOTHING);
-        Calls.Line[] line = new Calls.Line[1];
-        boolean[] over = new boolean[1];
-        if (probesOut < limits.probes()) {
-            line[0] = calls.start(member.address(), call, now, result ->
-                    desk.post(new Word.ProbeOver(member, now, result, desk.now(), over)));
-        }
-        if (line[0] == null) {
+        Probing probing = new Probing(member, now);
+        probing.line = probesOut >= limits.probes() ? null : calls.start(member.address(), call, now,
+                result -> desk.post(new Word.ProbeOver(probing, result, desk.now())));
+        if (probing.line == null) {
             route.tell(new Event.ProbeEnded(endpoint, Ending.NOT_SENT, 0, NO_REPORT));
             return;
         }
         probesOut++;
         counters.add(Count.PROBES);
         timers.at(now + limits.probeTimeout(), () -> {
-            if (!over[0]) {
-                over[0] = true;
-                probesOut--;
-                calls.cancel(line[0]);
-                route.tell(new Event.ProbeEnded(endpoint, Ending.TIMED_OUT, limits.probeTimeout(), NO_REPORT));
+            if (!probing.over) {
+                calls.cancel(probing.line);
+                over(probing, Ending.TIMED_OUT, desk.now(), NO_REPORT);
             }
         });
     }
 
     /** Takes in how a probe ended. */
     void ended(Word.ProbeOver probe) {
-        if (!probe.over()[0]) {
-            probe.over()[0] = true;
-            probesOut--;
-            route.tell(new Event.ProbeEnded(probe.member().number(), ending(probe.result()),
-                    Math.max(0, probe.at() - probe.firedAt()), report(probe.result().load())));
+        if (!probe.probing().over) {
+            over(probe.probing(), ending(probe.result()), probe.at(), report(probe.result().load()));
+        }
+    }
+
+    private void over(Probing probing, Ending ending, long at, float[] report) {
+        probing.over = true;
+        probesOut--;
+        route.tell(new Event.ProbeEnded(probing.member.number(), ending, Math.max(0, at - probing.firedAt), report));
+    }
+
+    /** A probe that is out. */
+    static final class Probing {
+        private final Catalogue.Member member;
+        private final long firedAt;
+        private Calls.Line line;
+        private boolean over;
+
+        private Probing(Catalogue.Member member, long firedAt) {
+            this.member = member;
+            this.firedAt = firedAt;
         }
     }
 
--- a/src/main/java/terndyke/node/stage/Word.java
+++ b/src/main/java/terndyke/node/stage/Word.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 
-import terndyke.node.discovery.Catalogue;
 import terndyke.node.http.Call;
 import terndyke.node.http.Calls;
 import terndyke.node.http.Handover;
@@ -20,8 +19,7 @@
     record ShotOver(Owed owed, Owed.Shot shot, long endpoint, Call.Result result, long at) implements Word { }
 
     /** A probe came to an end. */
-    record ProbeOver(Catalogue.Member member, long firedAt, Call.Result result, long at, boolean[] over)
-            implements Word { }
+    record ProbeOver(Send.Probing probing, Call.Result result, long at) implements Word { }
 
     /** A connection is free for another call. */
     record LineFree(Calls.Line line) implements Word { }
--- a/src/test/java/terndyke/node/stage/StageTest.java
+++ b/src/test/java/terndyke/node/stage/StageTest.java
@@ -132,6 +132,16 @@
         assertFalse(admit.admit(handover("one more", 3, 10, NOW), NOW));
     }
 
+    @Test
+    void whatIsAdmittedInOneTurnCountsBeforeItIsBooked() {
+        for (int i = 0; i < limits.records(); i++) {
+            assertTrue(admit.admit(handover("r" + i, 3, 10, NOW), NOW));
+        }
+        assertFalse(admit.admit(handover("one more", 3, 10, NOW), NOW));
+        book.settled();
+        assertTrue(admit.admit(handover("another", 3, 10, NOW), NOW));
+    }
+
     @Test
     void whatTheJournalHasNoRoomForIsRefused() {
         assertFalse(admit.admit(handover("r", 3, (int) limits.journalBytes() / 2, NOW), NOW));
@@ -185,6 +195,20 @@
         assertEquals(kept.taken.id(), reopened().byId("kept").taken.id());
     }
 
+    @Test
+    void tidyingComesBeforeRefusing() {
+        int admitted = 0;
+        for (int i = 0; i < 200; i++) {
+            admitted += book.roomFor(4_000) ? 1 : 0;
+            Owed passing = takeIn.take(handover("passing" + i, 3, 4_000, NOW));
+            assertTrue(book.taken(passing));
+            book.settled();
+            book.ended(passing, Entry.End.DONE, 0);
+            book.forget(NOW + 60_000_000, 0);
+        }
+        assertEquals(200, admitted);
+    }
+
     @Test
     void whatIsNotToldIsNotForgotten() {
         Owed owed = booked("r");
