A call given up counts as not run only where its connection never came up

A shot was then told as not run though it had left, and an unrepeatable record could go twice (rule 2). The wrong lines were in Send.giveUp and Calls.neverWhole.

--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -132,14 +132,14 @@
         return line;
     }
 
-    /** True while the line's call cannot have been written whole, so that giving it up shows that it never ran. */
-    public boolean neverWhole(Line line) {
-        return !line.allWritten();
-    }
-
-    /** Gives up the call on a line by closing the connection; its sink hears nothing more that counts. */
-    public void cancel(Line line) {
+    /**
+     * Gives up the call on a line by closing the connection; its sink hears nothing more that counts. True where the
+     * connection never came up, so that the call never ran. Once it is up that can't be told from this thread: the
+     * last byte may be on its way at this very moment.
+     */
+    public boolean cancel(Line line) {
         drop(line);
+        return line.session == null;
     }
 
     /** Takes back a line whose call is over, for the next call where it is still open. */
--- a/src/main/java/terndyke/node/stage/Send.java
+++ b/src/main/java/terndyke/node/stage/Send.java
@@ -105,8 +105,7 @@
     private void giveUp(Owed owed, Owed.Shot shot, long endpoint, Ending ending) {
         if (shot.ending == null && shot.line != null) {
             // of a record that is over, a connection that was not up in time says nothing of the endpoint
-            boolean notConnected = owed.open() && calls.neverWhole(shot.line);
-            calls.cancel(shot.line);
+            boolean notConnected = calls.cancel(shot.line) && owed.open();
             over(owed, shot, endpoint, notConnected ? Ending.NOT_CONNECTED : ending, desk.now(), 0, false, NO_REPORT);
         }
     }
--- a/src/test/java/terndyke/node/http/CallsTest.java
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -146,8 +146,7 @@
         Calls.Line line = call(BODY, 0);
         try (Socket connection = endpoint.accept()) {
             request(connection);
-            assertFalse(calls.neverWhole(line));
-            calls.cancel(line);
+            assertFalse(calls.cancel(line), "it was up, so it may have run");
             connection.setSoTimeout(5_000);
             int end;
             try {
