--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -235,6 +235,9 @@
         private void free() {
             if (!freed) {
                 freed = true;
+                if (line.session != null) {
+                    line.session.setSocketTimeout(Timeout.DISABLED); // idle, it is the desk's to close
+                }
                 whenFree.accept(line);
             }
         }
