Idle connections lose the time-out that bounds the rest of an answer

Ruled out: outcomes by kind, refusals, time in queue and 202 latency, which were as before. Wrong lines: Calls.Exchange set five seconds for the rest of an answer and never took it back, so that pooled connections closed after five idle seconds in place of twelve. Test: a connection idle for longer still serves a call.

--- a/src/test/java/terndyke/node/http/CallsTest.java
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -213,6 +213,25 @@
         assertTrue(results.isEmpty());
     }
 
+    @Test
+    void anIdleConnectionOutlivesTheTimeThatTheRestOfAnAnswerMayTake() throws Exception {
+        Limits patient = Limits.shareOut(192, 1024, 3, 8, 40, 400_000, 15_000_000);
+        calls = new Calls(reactor, patient, counters, free::add);
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, ANSWER);
+            result();
+            calls.free(free.poll(5, TimeUnit.SECONDS), 0);
+            Thread.sleep(patient.halfRequest() / 1000 + 400);
+            call(BODY, patient.halfRequest());
+            request(connection);
+            answer(connection, ANSWER);
+            assertEquals(200, result().status());
+        }
+        assertEquals(1, counters.of(Count.CONNECTIONS_OPENED));
+    }
+
     @Test
     void connectionsAreBounded() {
         for (int i = 0; i < limits.endpointConnections(); i++) {
