A node that goes with nothing held still answers for a second

New connections come for up to 0.4 s after SIGTERM; an end right then could leave a request without its answer.

--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -12,7 +12,7 @@
         long connectTimeout, long idleClose, long halfRequest, long clientIdle, long answerWithin,
         long watchWait, long watchSlack, long resend, long unanswered, long probeTimeout, long unbooked,
         long longestRecord, long longestSleep, long selectEvery, long sweepEvery, long rememberFor,
-        long startWithin, long leaveWithin, long leaveLast) {
+        long startWithin, long leaveWithin, long leaveLast, long closeWithin) {
 
     /** Shares out a machine's memory, descriptors and disk, with the terms' bounds on calls and records. */
     public static Limits shareOut(int memoryMb, int sockets, double diskMb, int slots, int holdingRoom,
@@ -29,6 +29,6 @@
                 connectTimeout, idleClose <= 0 ? 0 : idleClose * 4 / 5, 5_000_000, 60_000_000, 350_000,
                 4_000_000, 1_500_000, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
-                10_000_000, 2_600_000, 400_000);
+                10_000_000, 2_600_000, 1_000_000, 200_000);
     }
 }
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -185,7 +185,7 @@
     public void close() throws InterruptedException {
         closing = true;
         reactor.initiateShutdown();
-        reactor.awaitShutdown(TimeValue.ofMicroseconds(limits.leaveLast() / 2));
+        reactor.awaitShutdown(TimeValue.ofMicroseconds(limits.closeWithin()));
         reactor.close(CloseMode.IMMEDIATE);
     }
 }
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -140,6 +140,7 @@
             book.forget(now, Math.max(keyRest, limits.rememberFor()));
             book.tidy();
         }
+        // not at once where nothing is held: clients that do not know yet still come, and are owed an answer
         over = now >= leaveAt || leaveAt < Long.MAX_VALUE && book.held() == 0 && !relay.owes()
                 && now >= leaveAt - limits.leaveWithin() + limits.leaveLast();
     }
