Clients that stand idle, say nothing or send half a request are let go in time

At fault: Reactor.ClientSide kept idle clients for 60 s and gave half a request 5 s anew with each byte; at the limit of connections the door refused everybody. Now Visits, on the I/O thread, bounds each connection: one deadline for the whole of a request, 2.1 s for who says nothing, 3 s idle, and at the limit the one idle for longest makes room.

--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -9,7 +9,9 @@
         int clientConnections, int spareConnections, int backlog, int endpointConnections, int probes,
         int inbox, int wordsATurn, int records, long heldBytes, int remembered, int noticesTogether,
         long journalBytes, long journalReserve,
-        long connectTimeout, long idleClose, long halfRequest, long clientIdle, long answerWithin,
+        long connectTimeout, long idleClose, long restOfAnswer,
+        long halfRequest, long firstRequest, long clientIdle, long idleAtLeast, long silentFor, long silentAtLeast,
+        int requestsWaiting, int passedOver, long answerWithin,
         long watchWait, long watchSlack, long resend, long unanswered, long probeTimeout, long unbooked,
         long longestRecord, long longestSleep, long selectEvery, long sweepEvery, long rememberFor,
         long startWithin, long leaveWithin, long leaveLast, long closeWithin) {
@@ -26,7 +28,8 @@
                 clients * 7 / 8, clients / 8, 256, calls, Math.max(4, calls / 8),
                 1024, 256, holdingRoom, memoryMb * 1_000_000L / 8, remembered, 64,
                 disk, disk / 8,
-                connectTimeout, idleClose <= 0 ? 0 : idleClose * 4 / 5, 5_000_000, 60_000_000, 350_000,
+                connectTimeout, idleClose <= 0 ? 0 : idleClose * 4 / 5, 5_000_000,
+                2_000_000, 2_600_000, 3_000_000, 2_000_000, 2_100_000, 50_000, 8, 8 << 20, 350_000,
                 4_000_000, 1_500_000, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
                 10_000_000, 2_600_000, 1_000_000, 200_000);
--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -279,7 +279,7 @@
         @Override
         public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
             head = response;
-            line.session.setSocketTimeout(Timeout.ofMicroseconds(limits.halfRequest())); // for the rest of the answer
+            line.session.setSocketTimeout(Timeout.ofMicroseconds(limits.restOfAnswer())); // for the rest of the answer
             Header connection = response.getFirstHeader("Connection");
             line.last = connection != null && connection.getValue().equalsIgnoreCase("close");
             boolean wanted = response.getCode() == 200 && call.method().equals("GET");
--- a/src/main/java/terndyke/node/http/Door.java
+++ b/src/main/java/terndyke/node/http/Door.java
@@ -56,8 +56,8 @@
     }
 
     /** A handler for one request. */
-    AsyncServerExchangeHandler exchange(boolean crowded) {
-        return new Exchange(crowded);
+    AsyncServerExchangeHandler exchange(Visits.Visit visit, boolean crowded) {
+        return new Exchange(visit, crowded);
     }
 
     private final class Exchange implements AsyncServerExchangeHandler, Handover.Answer {
@@ -67,11 +67,14 @@
         private ByteBuffer body = ByteBuffer.allocate(0);
         private ByteBuffer text;
         private boolean tooLarge;
+        private long passedOver; // bytes of a body that nobody wants
         private volatile boolean answered;
         private Handover handover;
+        private final Visits.Visit visit;
         private final boolean crowded;
 
-        Exchange(boolean crowded) {
+        Exchange(Visits.Visit visit, boolean crowded) {
+            this.visit = visit;
             this.crowded = crowded;
         }
 
@@ -110,7 +113,11 @@
                 tooLarge();
             }
             if (tooLarge) {
+                passedOver += source.remaining();
                 source.position(source.limit());
+                if (passedOver > limits.passedOver()) { // its answer has long gone out
+                    visit.close();
+                }
             } else {
                 if (body.remaining() < source.remaining()) {
                     body = ByteBuffer.allocate(Math.max(2 * body.capacity(), body.position() + source.remaining()))
@@ -128,6 +135,7 @@
         }
 
         private void whole() {
+            visit.whole();
             String path = request.getPath();
             if (request.getMethod().equals("GET")) {
                 switch (path) {
@@ -140,7 +148,7 @@
             counters.add(Count.REQUESTS_IN);
             try {
                 handover = decode(path);
-                if (crowded || !handOver.test(handover)) {
+                if (crowded || visit.floods() || !handOver.test(handover)) {
                     counters.add(Count.REFUSED_AT_DOOR);
                     refused(0);
                 }
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.HttpConnection;
@@ -51,15 +50,21 @@
     private final Limits limits;
     private final Counters counters;
     private final NodeLog log;
-    private final AtomicInteger clients = new AtomicInteger();
-    private ServerHttp1StreamDuplexerFactory in;
+    private final Visits visits;
+    private final Http1Config http;
+    private final DefaultHttpRequestParserFactory requests;
+    private final DefaultHttpResponseWriterFactory answers;
+    private volatile Door door;
     private volatile boolean closing;
 
     public Reactor(Limits limits, Counters counters, NodeLog log) {
         this.limits = limits;
         this.counters = counters;
         this.log = log;
-        Http1Config http = http(limits);
+        visits = new Visits(limits, () -> System.nanoTime() / 1000);
+        http = http(limits);
+        requests = new DefaultHttpRequestParserFactory(http);
+        answers = new DefaultHttpResponseWriterFactory(http);
         out = new ClientHttp1StreamDuplexerFactory(HttpProcessorBuilder.create().build(), http,
                 CharCodingConfig.DEFAULT);
         IOReactorConfig io = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoReuseAddress(true)
@@ -87,56 +92,85 @@
             line.opened(session, handler);
             return handler;
         }
-        return new ClientSide(in.create("http", session));
+        return client(session);
     }
 
-    /** A client's connection: counted, and closed where it stands still, sooner in the midst of a request. */
+    /** A client's connection. */
     private final class ClientSide extends ServerHttp1IOEventHandler {
-        ClientSide(ServerHttp1StreamDuplexer duplexer) {
+        private final Visits.Visit visit;
+
+        ClientSide(Visits.Visit visit, ServerHttp1StreamDuplexer duplexer) {
             super(duplexer);
+            this.visit = visit;
         }
 
         @Override
-        public void connected(IOSession session) throws IOException {
-            counters.add(Count.CLIENT_CONNECTIONS);
-            if (clients.incrementAndGet() > limits.clientConnections() + limits.spareConnections()) {
-                session.close(CloseMode.IMMEDIATE);
-            } else {
-                session.setSocketTimeout(Timeout.ofMicroseconds(limits.clientIdle()));
-                super.connected(session);
+        public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+            visit.input();
+            if (session.isOpen()) {
+                super.inputReady(session, source);
             }
         }
 
         @Override
-        public void inputReady(IOSession session, ByteBuffer source) throws IOException {
-            session.setSocketTimeout(Timeout.ofMicroseconds(limits.halfRequest()));
-            super.inputReady(session, source);
+        public void timeout(IOSession session, Timeout timeout) {
+            visit.close();
         }
 
         @Override
         public void disconnected(IOSession session) {
-            clients.decrementAndGet();
+            visit.left();
             super.disconnected(session);
         }
     }
 
-    /** True while more clients are connected than are served; those in excess are refused and let go. */
-    boolean crowded() {
-        return clients.get() > limits.clientConnections();
+    private IOEventHandler client(ProtocolIOSession session) {
+        counters.add(Count.CLIENT_CONNECTIONS);
+        Visits.Visit visit = visits.come(session);
+        if (visit == null) {
+            counters.add(Count.TURNED_OUT);
+            return new Stranger();
+        }
+        Http1StreamListener whenAnswered = new Http1StreamListener() {
+            @Override
+            public void onRequestHead(HttpConnection connection, HttpRequest request) { }
+
+            @Override
+            public void onResponseHead(HttpConnection connection, HttpResponse response) { }
+
+            @Override
+            public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
+                visit.answered();
+            }
+        };
+        return new ClientSide(visit, new ServerHttp1StreamDuplexerFactory(HttpProcessorBuilder.create().build(),
+                (request, context) -> door.exchange(visit, visits.crowded()), http, CharCodingConfig.DEFAULT,
+                DefaultConnectionReuseStrategy.INSTANCE, requests, answers, whenAnswered, e -> { })
+                .create("http", session));
     }
 
-    private final Http1StreamListener whenAnswered = new Http1StreamListener() {
+    /** A client for whom there is no place: closed at once. */
+    private static final class Stranger implements IOEventHandler {
         @Override
-        public void onRequestHead(HttpConnection connection, HttpRequest request) { }
+        public void connected(IOSession session) {
+            session.close(CloseMode.IMMEDIATE);
+        }
 
         @Override
-        public void onResponseHead(HttpConnection connection, HttpResponse response) { }
+        public void inputReady(IOSession session, ByteBuffer source) { }
 
         @Override
-        public void onExchangeComplete(HttpConnection connection, boolean keepAlive) {
-            connection.setSocketTimeout(Timeout.ofMicroseconds(limits.clientIdle()));
-        }
-    };
+        public void outputReady(IOSession session) { }
+
+        @Override
+        public void timeout(IOSession session, Timeout timeout) { }
+
+        @Override
+        public void exception(IOSession session, Exception cause) { }
+
+        @Override
+        public void disconnected(IOSession session) { }
+    }
 
     public void start() {
         reactor.start();
@@ -144,11 +178,7 @@
 
     /** Serves clients on an address from now on. */
     public void listen(InetSocketAddress address, Door door) throws IOException {
-        in = new ServerHttp1StreamDuplexerFactory(HttpProcessorBuilder.create().build(),
-                (request, context) -> door.exchange(crowded()), http(limits), CharCodingConfig.DEFAULT,
-                DefaultConnectionReuseStrategy.INSTANCE,
-                new DefaultHttpRequestParserFactory(http(limits)), new DefaultHttpResponseWriterFactory(http(limits)),
-                whenAnswered, e -> { });
+        this.door = door;
         Future<ListenerEndpoint> listening = reactor.listen(address, DOOR, null);
         try {
             listening.get(limits.startWithin(), TimeUnit.MICROSECONDS);
--- /dev/null
+++ b/src/main/java/terndyke/node/http/Visits.java
@@ -0,0 +1,132 @@
+package terndyke.node.http;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.Timeout;
+
+import terndyke.node.Limits;
+
+/**
+ * The clients' connections: how many there may be, and how long each may stand idle, say nothing or be in the midst
+ * of a request. On the I/O thread alone. Guards against clients that keep their connection for good, connect and say
+ * nothing, or send half a request; covers slow senders and leaked connections too. It costs usual clients who pause
+ * for longer than that a new connection.
+ */
+final class Visits {
+    private final Limits limits;
+    private final LongSupplier clock;
+    private final Set<Visit> quiet = new LinkedHashSet<>(); // without an open request, longest first
+    private int open;
+
+    Visits(Limits limits, LongSupplier clock) {
+        this.limits = limits;
+        this.clock = clock;
+    }
+
+    /** Lets a client in, in the place of one that stands idle where all are taken; null where there is no place. */
+    Visit come(IOSession session) {
+        if (open >= limits.clientConnections()) {
+            makeRoom();
+        }
+        if (open >= limits.clientConnections() + limits.spareConnections()) {
+            return null;
+        }
+        open++;
+        Visit visit = new Visit(session);
+        visit.rest();
+        return visit;
+    }
+
+    /** True while more clients are connected than are served; those in excess are refused and let go. */
+    boolean crowded() {
+        return open > limits.clientConnections();
+    }
+
+    private void makeRoom() {
+        long now = clock.getAsLong();
+        Visit first = null;
+        for (Visit visit : quiet) {
+            long rested = now - visit.since;
+            if (rested >= limits.idleAtLeast() || !visit.asked && rested >= limits.silentAtLeast()) {
+                first = visit;
+                break;
+            }
+        }
+        if (first != null) {
+            first.close();
+        }
+    }
+
+    /** One client's connection. */
+    final class Visit {
+        private final IOSession session;
+        private final long came = clock.getAsLong();
+        private long since; // resting, or reading the request that comes in
+        private boolean reading;
+        private boolean asked;
+        private boolean gone;
+        private int unanswered;
+
+        private Visit(IOSession session) {
+            this.session = session;
+        }
+
+        private void rest() {
+            since = clock.getAsLong();
+            quiet.add(this);
+            session.setSocketTimeout(Timeout.ofMicroseconds(asked ? limits.clientIdle() : limits.silentFor()));
+        }
+
+        /** Bytes have come in. The request that they belong to has to be whole in time, however it trickles. */
+        void input() {
+            long now = clock.getAsLong();
+            quiet.remove(this);
+            since = reading ? since : now;
+            reading = true;
+            long due = Math.min(since + limits.halfRequest(), asked ? Long.MAX_VALUE : came + limits.firstRequest());
+            if (due <= now) {
+                close();
+            } else {
+                session.setSocketTimeout(Timeout.ofMicroseconds(due - now));
+            }
+        }
+
+        /** A request is whole. */
+        void whole() {
+            reading = false;
+            asked = true;
+            unanswered++;
+            session.setSocketTimeout(Timeout.ofMicroseconds(limits.unanswered()));
+        }
+
+        /** More requests wait on this connection than a client has reason for. */
+        boolean floods() {
+            return unanswered > limits.requestsWaiting();
+        }
+
+        /** A request has its answer. */
+        void answered() {
+            unanswered = Math.max(0, unanswered - 1);
+            if (unanswered == 0 && !reading && !gone) {
+                rest();
+            }
+        }
+
+        /** Closes the connection: nothing more is read, and what was written still arrives. */
+        void close() {
+            session.close(CloseMode.GRACEFUL);
+            left();
+        }
+
+        /** The connection is gone. */
+        void left() {
+            open -= gone ? 0 : 1;
+            gone = true;
+            quiet.remove(this);
+        }
+    }
+}
--- a/src/test/java/terndyke/node/http/CallsTest.java
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -223,8 +223,8 @@
             answer(connection, ANSWER);
             result();
             calls.free(free.poll(5, TimeUnit.SECONDS), 0);
-            Thread.sleep(patient.halfRequest() / 1000 + 400);
-            call(BODY, patient.halfRequest());
+            Thread.sleep(patient.restOfAnswer() / 1000 + 400);
+            call(BODY, patient.restOfAnswer());
             request(connection);
             answer(connection, ANSWER);
             assertEquals(200, result().status());
