Heads with two lengths are refused, fields read strictly, an owed id never replaced

HttpCore reads Content-Length beside Transfer-Encoding as chunked and takes what follows as the next request (shown by the new test, which gets a second 202 without the fix); Long.parseLong in Door takes a plus sign; Admit looked for a known id in the book only, so a second record with an id of the same turn replaced the first in byId; Desk.left withdrew whatever record had the id of a client that left, its own or not.

--- a/src/main/java/terndyke/node/http/Door.java
+++ b/src/main/java/terndyke/node/http/Door.java
@@ -169,44 +169,48 @@
             if (grade < 0) {
                 throw new IllegalArgumentException("unknown service grade");
             }
-            String id = text("Request-Id");
-            if (id == null || id.isEmpty() || id.length() > limits.idChars()) {
-                throw new IllegalArgumentException("Request-Id is missing or too long");
+            String id = one("Request-Id");
+            if (id == null || id.isEmpty() || id.length() > limits.idChars() || !id.chars().allMatch(Door::plain)) {
+                throw new IllegalArgumentException("Request-Id is missing, too long or not plain");
             }
-            int tenant = tenants.isEmpty() ? 0 : tenants.indexOf(text("Tenant"));
+            int tenant = tenants.isEmpty() ? 0 : tenants.indexOf(one("Tenant"));
             if (tenant < 0) {
                 throw new IllegalArgumentException("unknown tenant");
             }
-            long remaining = number(text("Request-Timeout-Ms"), "Request-Timeout-Ms", limits.longestRecord() / 1000);
-            String consignee = text("X-Consignee");
+            long remaining = number(one("Request-Timeout-Ms"), "Request-Timeout-Ms", limits.longestRecord() / 1000);
+            String consignee = one("X-Consignee");
             String dest = consignee == null ? null : field(consignee, "dest", ",|;|\\s");
             long destination = number(dest, "X-Consignee", 1 << 24);
-            String retry = text("Client-Retry");
+            String retry = one("Client-Retry");
+            String mark = one("Idempotency-Key");
+            if (mark != null && (mark.length() > limits.idChars() || !mark.chars().allMatch(Door::plain))) {
+                throw new IllegalArgumentException("Idempotency-Key is too long or not plain");
+            }
             byte[] content = new byte[body.flip().remaining()];
             body.get(content);
-            return new Handover(id, grade, tenant, key(), (int) destination, text("Idempotency-Key"),
+            return new Handover(id, grade, tenant, key(), (int) destination, mark,
                     remaining * 1000, retry != null, "again".equals(retry), content, clock.getAsLong(), this);
         }
 
-        private String text(String name) {
-            Header header = request.getFirstHeader(name);
-            return header == null ? null : header.getValue().strip();
+        /** The value of a header that may come once, or null where it is not there. */
+        private String one(String name) {
+            Header[] headers = request.getHeaders(name);
+            if (headers.length > 1) {
+                throw new IllegalArgumentException(name + " comes more than once");
+            }
+            return headers.length == 0 ? null : String.valueOf(headers[0].getValue()).strip();
         }
 
         private long number(String text, String name, long most) {
-            try {
-                long value = Long.parseLong(String.valueOf(text));
-                if (value >= 0 && value <= most) {
-                    return value;
-                }
-            } catch (NumberFormatException e) {
-                // told below
+            long value = text == null || !text.matches("\\d{1,15}") ? -1 : Long.parseLong(text);
+            if (value < 0 || value > most) {
+                throw new IllegalArgumentException(name + " is missing or not a number in range");
             }
-            throw new IllegalArgumentException(name + " is missing or not a number in range");
+            return value;
         }
 
         private long key() {
-            String cookie = text("Cookie");
+            String cookie = one("Cookie");
             String key = cookie == null ? null : field(cookie, "key", ";");
             return key == null || key.isEmpty() ? 0 : keyNumber(key);
         }
@@ -287,15 +291,23 @@
         return millis / 1000 + "." + Long.toString(1000 + millis % 1000).substring(1);
     }
 
-    /** The value of one name in a list of name=value pairs, or null. */
+    private static boolean plain(int character) {
+        return character > ' ' && character < 0x7f;
+    }
+
+    /** The value of one name in a list of name=value pairs, or null; it may come once. */
     static String field(String pairs, String name, String apart) {
+        String value = null;
         for (String pair : pairs.split(apart)) {
             String[] sides = pair.strip().split("=", 2);
             if (sides.length == 2 && sides[0].strip().equals(name)) {
-                return sides[1].strip();
+                if (value != null) {
+                    throw new IllegalArgumentException(name + " comes more than once");
+                }
+                value = sides[1].strip();
             }
         }
-        return null;
+        return value;
     }
 
     /** A key as the module knows it: 16 hexadecimal digits as they are, anything else by its hash; never 0. */
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -18,7 +18,6 @@
 import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
-import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParserFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
@@ -52,7 +51,6 @@
     private final NodeLog log;
     private final Visits visits;
     private final Http1Config http;
-    private final DefaultHttpRequestParserFactory requests;
     private final DefaultHttpResponseWriterFactory answers;
     private volatile Door door;
     private volatile boolean closing;
@@ -63,7 +61,6 @@
         this.log = log;
         visits = new Visits(limits, () -> System.nanoTime() / 1000);
         http = http(limits);
-        requests = new DefaultHttpRequestParserFactory(http);
         answers = new DefaultHttpResponseWriterFactory(http);
         out = new ClientHttp1StreamDuplexerFactory(HttpProcessorBuilder.create().build(), http,
                 CharCodingConfig.DEFAULT);
@@ -145,7 +142,7 @@
         };
         return new ClientSide(visit, new ServerHttp1StreamDuplexerFactory(HttpProcessorBuilder.create().build(),
                 (request, context) -> door.exchange(visit, visits.crowded()), http, CharCodingConfig.DEFAULT,
-                DefaultConnectionReuseStrategy.INSTANCE, requests, answers, whenAnswered, e -> { })
+                DefaultConnectionReuseStrategy.INSTANCE, () -> new RequestHeads(http), answers, whenAnswered, e -> { })
                 .create("http", session));
     }
 
--- /dev/null
+++ b/src/main/java/terndyke/node/http/RequestHeads.java
@@ -0,0 +1,61 @@
+package terndyke.node.http;
+
+import java.io.IOException;
+
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpRequest;
+import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+
+/**
+ * Reads one client's heads. Where two readers could see the end of a request in two places, it is refused, and nothing
+ * that follows on the connection is read: a record must never come out of another's body (rule 2). Guards against
+ * Content-Length beside Transfer-Encoding, and covers repeated, signed or huge lengths and other codings. It may turn
+ * away a sloppy client whose two lengths agree.
+ */
+final class RequestHeads extends DefaultHttpRequestParser<HttpRequest> {
+    private static final String DIGITS = "\\d{1,18}";
+
+    private boolean broken;
+
+    RequestHeads(Http1Config http) {
+        super(http, DefaultHttpRequestFactory.INSTANCE);
+    }
+
+    @Override
+    public HttpRequest parse(SessionInputBuffer buffer, boolean end) throws IOException, HttpException {
+        if (broken) {
+            return null;
+        }
+        try {
+            HttpRequest request = super.parse(buffer, end);
+            if (request != null) {
+                checkLength(request);
+            }
+            return request;
+        } catch (HttpException e) {
+            broken = true;
+            throw e;
+        }
+    }
+
+    private static void checkLength(HttpRequest request) throws ProtocolException {
+        Header[] lengths = request.getHeaders("Content-Length");
+        Header[] codings = request.getHeaders("Transfer-Encoding");
+        if (lengths.length + codings.length > 1) {
+            throw new ProtocolException("more than one header tells where the body ends");
+        }
+        if (lengths.length == 1 && !String.valueOf(lengths[0].getValue()).strip().matches(DIGITS)) {
+            throw new ProtocolException("Content-Length cannot be read");
+        }
+        if (codings.length == 1 && (!"chunked".equalsIgnoreCase(String.valueOf(codings[0].getValue()).strip())
+                || request.getVersion() != null && request.getVersion().lessEquals(HttpVersion.HTTP_1_0))) {
+            throw new ProtocolException("unknown Transfer-Encoding");
+        }
+    }
+}
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -174,8 +174,12 @@
         }
     }
 
+    /** An id that was taken in this very turn is as owed as one that is booked: the second record is refused. */
     private void handed(Handover handover, long now) {
-        if (admit.admit(handover, now)) {
+        if (fresh.values().stream().anyMatch(owed -> owed.taken.id().equals(handover.id()))) {
+            counters.add(Count.REPEATS);
+            handover.answer().refused(0);
+        } else if (admit.admit(handover, now)) {
             Owed owed = takeIn.take(handover);
             fresh.put(owed.taken.number(), owed);
             route.tell(event(owed, now));
@@ -188,7 +192,10 @@
                 taken.abandonAt() - now, 0, taken.destination(), owed.again, false, owed.fromDeadNode);
     }
 
-    /** A client that left before its answer may hand the record in again under another id. */
+    /**
+     * A client that left before its answer may hand the record in again under another id. One that only repeated
+     * another's id takes nothing back: the record is the one that this client handed in, or stays.
+     */
     private void left(Handover handover, long now) {
         Owed owed = book.byId(handover.id());
         for (Owed taken : List.copyOf(fresh.values())) {
@@ -197,7 +204,7 @@
                 route.tell(new Event.RecordWithdrawn(taken.taken.number()));
             }
         }
-        if (owed != null && owed.open()) {
+        if (owed != null && owed.open() && owed.taken.takenAt() == handover.readAt()) {
             counters.add(Count.WITHDRAWN);
             book.ended(owed, Entry.End.WITHDRAWN, 0);
             route.tell(new Event.RecordWithdrawn(owed.taken.number()));
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -212,6 +212,107 @@
         assertEquals("r-7", next(arrived).id());
     }
 
+    /** What a client reads in answer to bytes of its own, up to the end of the connection. */
+    private String raw(String bytes) throws IOException {
+        try (Socket socket = new Socket(listen.getAddress(), listen.getPort())) {
+            socket.setSoTimeout(4_000);
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        } catch (java.net.SocketException e) {
+            return ""; // closed by a reset
+        }
+    }
+
+    private static String head(String id, String... more) {
+        return "POST /status HTTP/1.1\r\nHost: a\r\nRequest-Id: " + id + "\r\nTenant: acme\r\nRequest-Timeout-Ms: 4000\r\n"
+                + "X-Consignee: dest=3\r\n" + String.join("\r\n", more) + "\r\n\r\n";
+    }
+
+    @Test
+    void aBodyWithTwoEndsHidesNoRecordAndIsNotTakenOn() throws Exception {
+        serve(3);
+        String hidden = head("hidden", "Content-Length: 0");
+        for (String lengths : List.of("Content-Length: 4\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: chunked\r\nContent-Length: 4", "Content-Length: 3\r\nContent-Length: 3",
+                "Content-Length: +3", "Content-Length: -3", "Content-Length: 3, 3", "Content-Length: 99999999999999999999",
+                "Transfer-Encoding: gzip, chunked", "Transfer-Encoding: identity", "Transfer-Encoding:\r\n chunked, x",
+                "Content-Length : 3", "Content-Length: 0x3")) {
+            String answer = raw(head("r-1", lengths) + "0\r\n\r\n" + hidden);
+            assertTrue(answer.isEmpty() || answer.matches("(?s)HTTP/1.1 [45]\\d\\d .*"), lengths + ": " + answer);
+            assertTrue(answer.indexOf("HTTP/1.1", 1) < 0, "nothing behind it is read as a request: " + lengths);
+        }
+        assertEquals(202, hand("status", "r-2"));
+        assertEquals("r-2", next(arrived).id());
+        assertEquals(1, node.counters().of(Count.TAKEN));
+    }
+
+    @Test
+    void aRequestBehindABrokenOneOnTheSameConnectionIsNotRead() throws Exception {
+        verdict = call -> SILENT;
+        serve(3);
+        String first = head("r-1", "Content-Length: 0");
+        String answer = raw(first + head("r-2", "Content-Length: 0", "Transfer-Encoding: chunked") + "0\r\n\r\n"
+                + head("r-3", "Content-Length: 0"));
+        assertTrue(answer.startsWith("HTTP/1.1 202"), answer);
+        assertEquals(1, node.counters().of(Count.TAKEN));
+    }
+
+    @Test
+    void aFieldThatIsNoPlainNumberOrComesTwiceIsNotTakenOn() throws Exception {
+        serve(3);
+        for (String more : List.of("X-Consignee: dest=3", "Tenant: acme", "Request-Id: again", "Request-Timeout-Ms: 9")) {
+            assertTrue(raw(head("r-1", more, "Content-Length: 0", "Connection: close")).startsWith("HTTP/1.1 400"), more);
+        }
+        for (String timeout : List.of("+4000", "4e3", "-1", "NaN", "99999999999999999999", " ")) {
+            assertEquals(400, send(request("status", "r-2").setHeader("Request-Timeout-Ms", timeout), ""), timeout);
+        }
+        assertEquals(400, send(request("status", "r-3").setHeader("X-Consignee", "dest=3,dest=4"), ""));
+        assertEquals(400, send(request("status", "r 4"), ""));
+        assertEquals(0, node.counters().of(Count.TAKEN));
+    }
+
+    @Test
+    void aBodyOfSixtyMegabytesIsAnsweredWhileItComesAndNotReadToItsEnd() throws Exception {
+        serve(3);
+        try (Socket socket = new Socket(listen.getAddress(), listen.getPort())) {
+            OutputStream out = socket.getOutputStream();
+            out.write(head("r-1", "Content-Length: 60000000").getBytes(StandardCharsets.US_ASCII));
+            byte[] part = new byte[1 << 16];
+            socket.setSoTimeout(5_000);
+            assertEquals("HTTP/1.1 413", new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII));
+            int sent = 0;
+            try {
+                for (; sent < 60_000_000; sent += part.length) {
+                    out.write(part);
+                }
+            } catch (IOException e) {
+                // closed by the node, as it should be
+            }
+            assertTrue(sent < 30_000_000, "read on for " + sent);
+        }
+        assertEquals(200, health());
+    }
+
+    @Test
+    void aClientThatRepeatsAnotherOnesIdAndLeavesTakesNothingBack() throws Exception {
+        verdict = call -> 503;
+        serve(3);
+        assertEquals(202, hand("order", "r-1"));
+        for (int i = 0; i < 20; i++) {
+            try (Socket socket = new Socket(listen.getAddress(), listen.getPort())) {
+                socket.getOutputStream().write(head("r-1", "Content-Length: 0").getBytes(StandardCharsets.US_ASCII));
+                socket.setSoLinger(true, 0); // gone before its answer
+            }
+        }
+        Thread.sleep(300);
+        assertEquals(0, node.counters().of(Count.WITHDRAWN));
+        verdict = call -> 200;
+        for (int i = 0; i < 100 && node.counters().of(Count.ENDED_DONE) == 0; i++) {
+            Thread.sleep(30);
+        }
+        assertEquals(1, node.counters().of(Count.ENDED_DONE));
+    }
+
     @Test
     void anEndThatIsNotADeliveryIsToldUntilItIsAnswered() throws Exception {
         verdict = call -> 500;
