SIGHUP reads the configuration again and moves watch and notices to discovery's new address

Ruled out: the SIGTERM path, which the log does not show. At fault: Main.serve installed no handler; Watch and Relay held one address for good, and NODE_DISCOVERY won over the file at each start. Now the file is read and checked on a thread of its own, one word goes to the desk, the watch begins afresh with the whole list, notices that are owed go to the new address, and what cannot be read is one log line.

--- a/src/main/java/terndyke/Main.java
+++ b/src/main/java/terndyke/Main.java
@@ -4,6 +4,10 @@
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
@@ -30,8 +34,8 @@
         private String name = System.getenv("NODE_NAME");
         @Parameter(names = "--listen", description = "where clients connect; else NODE_LISTEN")
         private String listen = System.getenv("NODE_LISTEN");
-        @Parameter(names = "--discovery", description = "where discovery answers; else NODE_DISCOVERY")
-        private String discovery = System.getenv("NODE_DISCOVERY");
+        @Parameter(names = "--discovery", description = "where discovery answers; else the configuration's")
+        private String discovery;
         @Parameter(names = "--state", description = "the folder that lasts; else NODE_STATE")
         private String state = System.getenv("NODE_STATE");
     }
@@ -70,9 +74,13 @@
 
     private static void serve(Serve serve) {
         try {
-            Charter charter = Charter.read(new Charter.Place(serve.config, serve.name, serve.listen, serve.discovery,
-                    serve.state));
+            Charter.Place place = new Charter.Place(serve.config, serve.name, serve.listen, serve.discovery, serve.state);
+            Charter charter = Charter.read(place);
             DeliveryNode node = new DeliveryNode(charter, new NodeLog(System.out, charter.name()));
+            // one at a time, and one more that waits: whatever comes beside these reads the same file
+            ThreadPoolExecutor rereads = new ThreadPoolExecutor(0, 1, 1, TimeUnit.SECONDS, new ArrayBlockingQueue<>(1),
+                    work -> new Thread(work, "terndyke-reread"), new ThreadPoolExecutor.DiscardPolicy());
+            whenHungUp(() -> rereads.execute(() -> node.reread(place)));
             node.start();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 node.close();
@@ -84,6 +92,23 @@
         }
     }
 
+    /** The JDK hears SIGHUP by a type that is none of its documented ones, hence by name; unheard it ends the process. */
+    private static void whenHungUp(Runnable work) throws IOException {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object heard = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
+                    (self, method, given) -> {
+                        work.run();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), heard);
+        } catch (ReflectiveOperationException e) {
+            throw new IOException("this Java cannot hear SIGHUP: " + e, e);
+        }
+    }
+
     private static int adapter() {
         try {
             return new BenchAdapter().serve(new FileInputStream(FileDescriptor.in),
--- a/src/main/java/terndyke/node/Charter.java
+++ b/src/main/java/terndyke/node/Charter.java
@@ -54,12 +54,19 @@
                 terms.holdingRoom(), micros(settings, "ceilings.connectTimeout", 1), terms.idleClose());
         return new Charter(place.name() != null ? place.name() : told.getOrDefault("name", "node"),
                 address(place.listen() != null ? place.listen() : told.get("listen"), "listen"),
-                address(place.discovery() != null ? place.discovery() : told.get("discovery"), "discovery"),
+                address(place.discovery() != null ? place.discovery()
+                        : told.getOrDefault("discovery", System.getenv("NODE_DISCOVERY")), "discovery"),
                 Path.of(place.folder()), limits, FlatJson.below("known", told), terms, names(settings, "classes"),
                 names(settings, "tenants"), list(settings, "dcs"), list(settings, "kinds"),
                 list(settings, "report.fields"));
     }
 
+    /** The same with another address of discovery, which is all that a running node takes up anew. */
+    Charter movedTo(InetSocketAddress address) {
+        return new Charter(name, listen, address, folder, limits, known, terms, grades, tenants, zones, kinds,
+                reportFields);
+    }
+
     private static InetSocketAddress address(String text, String what) throws IOException {
         InetSocketAddress address = Calls.address(text);
         if (address == null) {
--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -68,6 +68,24 @@
                 + counters.of(Counters.Count.RESTORED) + " records owed from the last life");
     }
 
+    /**
+     * Reads the configuration again and follows discovery to the address that it names; all else in it is for the next
+     * start. What cannot be read leaves the node as it is. From any thread but the node's own.
+     */
+    public void reread(Charter.Place place) {
+        try {
+            Charter told = Charter.read(place);
+            boolean same = charter.movedTo(told.discovery()).equals(told);
+            log.info("configuration read again, discovery at " + told.discovery()
+                    + (same ? "" : "; what else differs is taken up at the next start"));
+            if (ready) {
+                desk.post(new Word.Moved(told.discovery()));
+            }
+        } catch (IOException | RuntimeException e) {
+            log.warn("configuration not taken up, the old one stays: " + e.getMessage());
+        }
+    }
+
     public Counters counters() {
         return counters;
     }
--- a/src/main/java/terndyke/node/discovery/Watch.java
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -17,7 +17,7 @@
     private static final byte[] NOTHING = new byte[0];
 
     private final Limits limits;
-    private final InetSocketAddress discovery;
+    private InetSocketAddress discovery;
     private final Catalogue catalogue;
     private final Calls calls;
     private final NodeLog log;
@@ -27,6 +27,7 @@
     private long dueAt; // when the call that is out has waited too long, or the next one may leave
     private boolean out;
     private boolean silent;
+    private boolean afresh; // the whole list is asked for first
 
     public Watch(Limits limits, InetSocketAddress discovery, Catalogue catalogue, Calls calls, NodeLog log,
             BiConsumer<Long, Call.Result> whenAnswered) {
@@ -50,13 +51,28 @@
         return dueAt;
     }
 
+    /** Follows discovery to another address: a fresh watch with the whole list; until it is told the old one stays. */
+    public void moveTo(InetSocketAddress address) {
+        if (!address.equals(discovery)) {
+            if (out) {
+                calls.cancel(line);
+                out = false;
+            }
+            calls.dropIdle(discovery);
+            discovery = address;
+            afresh = true;
+            dueAt = 0;
+        }
+    }
+
     private void start(long now) {
-        String path = "/catalog/members?after=" + catalogue.version() + "&wait_ms=" + limits.watchWait() / 1000;
+        String path = "/catalog/members" + (afresh ? ""
+                : "?after=" + catalogue.version() + "&wait_ms=" + limits.watchWait() / 1000);
         long sent = ++round;
         line = calls.start(discovery, new Call("GET", path, new String[] {"Host", discovery.getHostString()}, NOTHING),
                 now, result -> whenAnswered.accept(sent, result));
         out = line != null;
-        dueAt = now + (out ? limits.watchWait() + limits.watchSlack() : limits.resend());
+        dueAt = now + (!out ? limits.resend() : afresh ? limits.unanswered() : limits.watchWait() + limits.watchSlack());
     }
 
     /** Takes in an answer; returns what it tells, or null where it cannot be read. */
@@ -75,6 +91,7 @@
             Event.ListTold list = catalogue.take(result.body(), unread);
             unread.forEach(text -> log.warn("list: " + text));
             dueAt = now;
+            afresh = false;
             told(true, "discovery answers again");
             return list;
         } catch (IOException e) {
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -164,6 +164,9 @@
                 route.tell(told);
                 catalogue.left().forEach(calls::dropIdle);
             }
+        } else if (word instanceof Word.Moved moved) {
+            watch.moveTo(moved.address());
+            relay.moveTo(moved.address());
         } else if (word instanceof Word.Left left) {
             left(left.handover(), now);
         } else if (word instanceof Word.Leave) {
--- a/src/main/java/terndyke/node/stage/Relay.java
+++ b/src/main/java/terndyke/node/stage/Relay.java
@@ -21,7 +21,7 @@
 public final class Relay {
     private final Limits limits;
     private final Counters counters;
-    private final InetSocketAddress platform;
+    private InetSocketAddress platform;
     private final Calls calls;
     private final Route route;
     private final Book book;
@@ -122,6 +122,19 @@
         });
     }
 
+    /** From now on notices go to another address; those not yet answered go there again. */
+    void moveTo(InetSocketAddress address) {
+        if (!address.equals(platform)) {
+            if (out) {
+                calls.cancel(line);
+                out = false;
+                round++;
+            }
+            platform = address;
+            restUntil = 0;
+        }
+    }
+
     private void unanswered(String why, long now) {
         if (!silent) {
             silent = true;
--- a/src/main/java/terndyke/node/stage/Word.java
+++ b/src/main/java/terndyke/node/stage/Word.java
@@ -1,5 +1,6 @@
 package terndyke.node.stage;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 
 import terndyke.node.http.Call;
@@ -30,6 +31,9 @@
     /** The platform answered notices, or did not. */
     record Noticed(long round, List<Owed> told, Call.Result result) implements Word { }
 
+    /** Discovery, and with it the platform, has another address. */
+    record Moved(InetSocketAddress address) implements Word { }
+
     /** The node is to go. */
     record Leave() implements Word { }
 }
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -435,6 +435,69 @@
         }
     }
 
+    /** Moves discovery to another address and writes that into the node's configuration. */
+    private Path moved() throws IOException {
+        Path file = folder.resolve("charter.json");
+        discovery.stop(0);
+        discovery = server("/", this::tell);
+        Files.writeString(file, charter(3, 1024));
+        return file;
+    }
+
+    @Test
+    void aConfigurationReadAgainMovesTheWatchAndTheNoticesThatAreOwed() throws Exception {
+        verdict = call -> 500;
+        noticesToDrop.set(Integer.MAX_VALUE);
+        serve(3);
+        assertEquals(202, hand("payment", "r-1"));
+        assertNotNull(next(arrived));
+        Path file = moved();
+        noticesToDrop.set(0);
+        list = "{\"rev\":1,\"all\":true,\"targets\":[" + target("s-1", 3) + "," + target("s-9", 9) + "]}";
+        node.reread(new Charter.Place(file.toString(), null, null, null, folder.toString()));
+        assertEquals("{\"ref\":\"r-1\",\"result\":\"dead\"}", next(notices));
+        for (int i = 0; i < 100 && node.counters().of(Count.LISTS_TOLD) == 0; i++) {
+            Thread.sleep(20);
+        }
+        verdict = call -> 200;
+        assertEquals(202, send(request("status", "r-2").setHeader("X-Consignee", "dest=9"), ""));
+    }
+
+    @Test
+    void aConfigurationThatCannotBeReadLeavesTheOldOneInForce() throws Exception {
+        serve(3);
+        Path file = folder.resolve("charter.json");
+        for (String broken : List.of("", "{", "[]", "{\"settings\":{}}", charter(3, 1024).replace("\"seed\":\"1\"",
+                "\"seed\":\"x\""), charter(3, 1024).replace("\"discovery\":\"127", "\"discovery\":\"nowhere"))) {
+            Files.writeString(file, broken);
+            node.reread(new Charter.Place(file.toString(), null, null, null, folder.toString()));
+        }
+        node.reread(new Charter.Place(folder.resolve("none").toString(), null, null, null, folder.toString()));
+        list = "{\"rev\":2,\"all\":false,\"targets\":[" + target("s-2", 8) + "]}";
+        verdict = call -> 500;
+        assertEquals(202, hand("payment", "r-1"));
+        assertEquals("{\"ref\":\"r-1\",\"result\":\"dead\"}", next(notices));
+    }
+
+    @Test
+    void aProcessThatIsHungUpReadsItsConfigurationAgain() throws Exception {
+        verdict = call -> 500;
+        Path file = folder.resolve("charter.json");
+        Files.writeString(file, charter(3, 1024));
+        Process process = process(file);
+        try {
+            moved();
+            for (int i = 0; i < 3; i++) {
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+            }
+            assertEquals(202, hand("payment", "r-1"));
+            assertEquals("{\"ref\":\"r-1\",\"result\":\"dead\"}", next(notices));
+            assertTrue(process.isAlive());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     private Process process(Path file) throws Exception {
         Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
                 System.getProperty("java.class.path"), "terndyke.Main", "serve", "--config", file.toString(), "--state",
