The first line of an answer decides; what is spoilt or comes behind it closes its connection

Seen in tests against a stand-in: an answer whose head breaks behind a first line of 200 ended as a reset, a 503 whose body never came was believed before its end, a second copy or noise behind an answer was read as the answer to the next call, reports with NaN or a lacking field were taken. At fault: Calls.Exchange (outcome at the head alone, no limit on 1xx), no look at what is left when a line is handed back, Send.report.

--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -28,7 +28,7 @@
                 clients * 7 / 8, clients / 8, 256, calls, Math.max(4, calls / 8),
                 1024, 256, holdingRoom, memoryMb * 1_000_000L / 8, remembered, 64,
                 disk, disk / 8,
-                connectTimeout, idleClose <= 0 ? 0 : idleClose * 4 / 5, 5_000_000,
+                connectTimeout, idleClose <= 0 ? 0 : idleClose * 4 / 5, 1_000_000,
                 2_000_000, 2_600_000, 3_000_000, 2_000_000, 2_100_000, 50_000, 8, 8 << 20, 350_000,
                 4_000_000, 1_500_000, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -17,7 +17,9 @@
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 import org.apache.hc.core5.http.nio.AsyncClientExchangeHandler;
@@ -56,7 +58,11 @@
         this.whenFree = whenFree;
     }
 
-    /** One connection, with the call that is on it. */
+    /**
+     * One connection, with the call that is on it. What comes while no call waits for an answer belongs to none: the
+     * connection goes, and the earlier answer stands. Guards against second copies of an answer and noise behind it,
+     * which would else be taken for the answer to the next call; covers endpoints that close or go mad while idle.
+     */
     public final class Line {
         private final InetSocketAddress address;
         private volatile IOSession session;
@@ -68,11 +74,50 @@
         private long idleSince;
         private volatile long due = Long.MAX_VALUE; // bytes that the calls so far come to
         private boolean counted = true;
+        private AnswerHeads heads;
+        private boolean inInput;
 
         private Line(InetSocketAddress address) {
             this.address = address;
         }
 
+        /** The reader of this connection's answers. */
+        AnswerHeads heads(Http1Config http) {
+            heads = new AnswerHeads(http, status -> {
+                if (exchange != null) {
+                    exchange.firstLine(status);
+                }
+            });
+            return heads;
+        }
+
+        /** Bytes, or an end, have come: false where no call waits for them. */
+        boolean expects() {
+            Exchange on = exchange;
+            inInput = on != null && on.produced && !on.freed;
+            if (!inInput) {
+                session.close(CloseMode.IMMEDIATE);
+                if (on != null && !on.freed) {
+                    on.failed(null); // its call has not left
+                }
+            }
+            return inInput;
+        }
+
+        /** What has come has been read. */
+        void read() {
+            inInput = false;
+            Exchange on = exchange;
+            if (on != null && on.freed) {
+                if (heads.left()) {
+                    session.close(CloseMode.IMMEDIATE);
+                }
+                on.hand();
+            } else if (on != null) {
+                on.looked();
+            }
+        }
+
         void opened(IOSession opened, HttpConnection handler) {
             connection = handler;
             session = opened;
@@ -208,11 +253,15 @@
         private final Call.Sink sink;
         private final ByteBuffer body;
         private HttpResponse head;
+        private int status; // of the first line, before the rest of the head is there
         private ByteBuffer answer;
         private volatile boolean produced;
         private boolean ended;
-        private boolean freed;
+        private volatile boolean freed;
+        private boolean handed;
         private int passedOver; // bytes of an answer that nobody wants
+        private int informed;
+        private long due; // when the answer has to be whole
 
         Exchange(Line line, Call call, Call.Sink sink) {
             this.line = line;
@@ -232,19 +281,52 @@
             }
         }
 
+        /** The first line decides: what reads 200 is done, however the rest of its answer is spoilt. */
+        void firstLine(int read) {
+            status = read;
+        }
+
+        private boolean done() {
+            return status == 200 && !call.method().equals("GET");
+        }
+
+        /** A part of the answer has come: its rest has to come in time, however it trickles. */
+        void looked() {
+            long now = System.nanoTime() / 1000;
+            due = due == 0 ? now + limits.restOfAnswer() : due;
+            if (head == null && done()) {
+                end(new Call.Result(status, null, 0, false, null, null));
+            }
+            if (now >= due) {
+                failed(null);
+            } else if (line.session != null) {
+                line.session.setSocketTimeout(Timeout.ofMicroseconds(due - now));
+            }
+        }
+
         private void free() {
             if (!freed) {
                 freed = true;
                 if (line.session != null) {
                     line.session.setSocketTimeout(Timeout.DISABLED); // idle, it is the desk's to close
                 }
+            }
+            if (!line.inInput) {
+                hand();
+            }
+        }
+
+        /** Hands the line back, once all that came with the answer has been looked at. */
+        private void hand() {
+            if (!handed) {
+                handed = true;
                 whenFree.accept(line);
             }
         }
 
         @Override
         public void produceRequest(RequestChannel channel, HttpContext context)
-                throws org.apache.hc.core5.http.HttpException, IOException {
+                throws HttpException, IOException {
             BasicHttpRequest request = new BasicHttpRequest(call.method(), call.path());
             int size = call.method().length() + call.path().length() + " ".length() + " HTTP/1.1\r\n".length() + 2;
             for (int i = 0; i < call.headers().length; i += 2) {
@@ -274,28 +356,47 @@
         }
 
         @Override
-        public void consumeInformation(HttpResponse response, HttpContext context) { }
+        public void consumeInformation(HttpResponse response, HttpContext context) throws HttpException {
+            if (++informed > limits.headers()) {
+                throw new HttpException("an answer only announced");
+            }
+        }
 
         @Override
-        public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context) {
+        public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
+                throws IOException {
             head = response;
-            line.session.setSocketTimeout(Timeout.ofMicroseconds(limits.restOfAnswer())); // for the rest of the answer
             Header connection = response.getFirstHeader("Connection");
             line.last = connection != null && connection.getValue().equalsIgnoreCase("close");
-            boolean wanted = response.getCode() == 200 && call.method().equals("GET");
-            if (!wanted || entity == null) {
+            if (done()) {
                 end(result(null));
-            } else {
-                answer = ByteBuffer.allocate(limits.bodyBytes());
+            } else if (response.getCode() == 200) {
+                answer = ByteBuffer.allocate(limits.bufferBytes());
+            }
+            int most = answer == null ? limits.bodyBytes() : limits.answerBytes();
+            if (entity != null && entity.getContentLength() > most) {
+                throw new IOException("answer is too large");
             }
             if (entity == null) {
-                free();
+                whole();
+            }
+        }
+
+        /** The answer is whole. Only then does anything but 200 say that the call did not run. */
+        private void whole() {
+            byte[] content = null;
+            if (answer != null) {
+                content = new byte[answer.flip().remaining()];
+                answer.get(content);
+                answer = null;
             }
+            end(result(content));
+            free();
         }
 
         private Call.Result result(byte[] content) {
             Header wait = head.getFirstHeader("Retry-After");
-            Header load = head.getFirstHeader("Server-Load");
+            Header load = head.countHeaders("Server-Load") == 1 ? head.getFirstHeader("Server-Load") : null;
             return new Call.Result(head.getCode(), null, micros(wait), head.containsHeader("X-Line-Busy"),
                     load == null ? null : load.getValue(), content);
         }
@@ -316,7 +417,7 @@
                     answer = ByteBuffer.allocate(grown).put(answer.flip());
                 }
                 answer.put(source);
-            } else if ((passedOver += source.remaining()) > limits.answerBytes()) {
+            } else if ((passedOver += source.remaining()) > limits.bodyBytes()) {
                 throw new IOException("answer does not end");
             } else {
                 source.position(source.limit());
@@ -325,19 +426,13 @@
 
         @Override
         public void streamEnd(List<? extends Header> trailers) {
-            if (answer != null) {
-                byte[] content = new byte[answer.flip().remaining()];
-                answer.get(content);
-                answer = null;
-                end(result(content));
-            }
-            free();
+            whole();
         }
 
         @Override
         public void failed(Exception cause) {
-            end(Call.Result.none(line.allWritten() ? Ending.RESET
-                    : Ending.NOT_CONNECTED));
+            end(done() ? new Call.Result(status, null, 0, false, null, null)
+                    : Call.Result.none(line.allWritten() ? Ending.RESET : Ending.NOT_CONNECTED));
             IOSession session = line.session;
             if (session != null) {
                 session.close(CloseMode.IMMEDIATE);
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -17,7 +17,9 @@
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
+import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
@@ -45,7 +47,7 @@
     private static final Object DOOR = new Object();
 
     private final DefaultListeningIOReactor reactor;
-    private final ClientHttp1StreamDuplexerFactory out;
+    private final DefaultHttpRequestWriterFactory calls;
     private final Limits limits;
     private final Counters counters;
     private final NodeLog log;
@@ -62,8 +64,7 @@
         visits = new Visits(limits, () -> System.nanoTime() / 1000);
         http = http(limits);
         answers = new DefaultHttpResponseWriterFactory(http);
-        out = new ClientHttp1StreamDuplexerFactory(HttpProcessorBuilder.create().build(), http,
-                CharCodingConfig.DEFAULT);
+        calls = new DefaultHttpRequestWriterFactory(http);
         IOReactorConfig io = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoReuseAddress(true)
                 .setSelectInterval(TimeValue.ofMicroseconds(limits.selectEvery()))
                 .setBacklogSize(limits.backlog()).build();
@@ -85,13 +86,36 @@
 
     private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
         if (attachment instanceof Calls.Line line) {
-            ClientHttp1IOEventHandler handler = new ClientHttp1IOEventHandler(out.create(session));
+            ClientHttp1IOEventHandler handler = new LineSide(line, new ClientHttp1StreamDuplexerFactory(
+                    HttpProcessorBuilder.create().build(), http, CharCodingConfig.DEFAULT,
+                    DefaultConnectionReuseStrategy.INSTANCE, () -> line.heads(http), calls, null).create(session));
             line.opened(session, handler);
             return handler;
         }
         return client(session);
     }
 
+    /** A connection of the node's own. */
+    private static final class LineSide extends ClientHttp1IOEventHandler {
+        private final Calls.Line line;
+
+        LineSide(Calls.Line line, ClientHttp1StreamDuplexer duplexer) {
+            super(duplexer);
+            this.line = line;
+        }
+
+        @Override
+        public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+            if (line.expects()) {
+                try {
+                    super.inputReady(session, source);
+                } finally {
+                    line.read();
+                }
+            }
+        }
+    }
+
     /** A client's connection. */
     private final class ClientSide extends ServerHttp1IOEventHandler {
         private final Visits.Visit visit;
--- a/src/main/java/terndyke/node/stage/Send.java
+++ b/src/main/java/terndyke/node/stage/Send.java
@@ -120,7 +120,7 @@
             }
             over(over.owed(), over.shot(), over.endpoint(), ending, over.at(),
                     ending == Ending.FULL ? result.waitTold() : 0, ending == Ending.NOT_SENT && result.lineBusy(),
-                    report(result.load()));
+                    report(result.load(), reportFields));
         }
     }
 
@@ -154,24 +154,31 @@
         };
     }
 
-    /** A report such as x0=0.4,x1=25 in the order of the terms' fields; empty where it lacks one. */
-    private float[] report(String load) {
+    /** A report such as x0=0.4,x1=25 in the order of the terms' fields; empty where it lacks one or one is no figure. */
+    static float[] report(String load, List<String> reportFields) {
         if (load == null || reportFields.isEmpty()) {
             return NO_REPORT;
         }
         float[] values = new float[reportFields.size()];
+        int read = 0;
         for (String pair : load.split(",")) {
             String[] sides = pair.strip().split("=", 2);
             int place = reportFields.indexOf(sides[0].strip());
+            float value = -1;
             try {
-                if (place >= 0 && sides.length == 2) {
-                    values[place] = Float.parseFloat(sides[1].strip());
-                }
+                value = sides.length == 2 ? Float.parseFloat(sides[1].strip()) : -1;
             } catch (NumberFormatException e) {
+                // no figure, no report
+            }
+            if (!Float.isFinite(value) || value < 0) {
                 return NO_REPORT;
             }
+            if (place >= 0) {
+                values[place] = value;
+                read |= 1 << place;
+            }
         }
-        return values;
+        return Integer.bitCount(read) == reportFields.size() ? values : NO_REPORT;
     }
 
     /** Checks an endpoint by a call of its own. */
@@ -201,7 +208,7 @@
     /** Takes in how a probe ended. */
     void ended(Word.ProbeOver probe) {
         if (!probe.probing().over) {
-            over(probe.probing(), ending(probe.result()), probe.at(), report(probe.result().load()));
+            over(probe.probing(), ending(probe.result()), probe.at(), report(probe.result().load(), reportFields));
         }
     }
 
--- a/src/test/java/terndyke/node/http/CallsTest.java
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -13,6 +13,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -232,6 +233,82 @@
         assertEquals(1, counters.of(Count.CONNECTIONS_OPENED));
     }
 
+    @Test
+    void aSpoiltAnswerWhoseFirstLineReads200IsDoneAndItsConnectionGoes() throws Exception {
+        for (String spoilt : List.of("HTTP/1.1 200 OK\r\n\u0001\u0002 what\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx", "HTTP/1.1 200 OK\r\nNever: ends",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n1")) {
+            call(BODY, 0);
+            try (Socket connection = endpoint.accept()) {
+                request(connection);
+                answer(connection, spoilt);
+                assertEquals(200, result().status(), spoilt);
+                assertClosed(connection);
+            }
+            calls.free(free.poll(5, TimeUnit.SECONDS), 0);
+        }
+    }
+
+    private static void assertClosed(Socket connection) throws IOException {
+        connection.setSoTimeout(5_000);
+        try {
+            assertEquals(-1, connection.getInputStream().read());
+        } catch (java.net.SocketException e) {
+            // a reset is a closing too
+        }
+    }
+
+    @Test
+    void aSpoiltAnswerThatReadsAnythingElseMayHaveRun() throws Exception {
+        for (String spoilt : List.of("HTTP/1.1 2\u0000\u0001\r\n\r\n", "\u0003\u0004\u0005\r\n\r\n", "HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\n1",
+                "HTTP/1.1 429 No\r\nContent-Length: x\r\n\r\n", "HTTP/1.1 503 No\r\nContent-Length: 3000000000\r\n\r\nxx",
+                "HTTP/1.1 100 Go\r\n\r\n".repeat(200))) {
+            call(BODY, 0);
+            try (Socket connection = endpoint.accept()) {
+                request(connection);
+                answer(connection, spoilt);
+                assertEquals(Ending.RESET, result().ending(), spoilt);
+                assertClosed(connection);
+            }
+        }
+    }
+
+    @Test
+    void aFewAnnouncementsInFrontOfAnAnswerArePassedOver() throws Exception {
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, "HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + ANSWER);
+            assertEquals(200, result().status());
+        }
+    }
+
+    @Test
+    void whatComesBehindAnAnswerIsNeverTakenForTheNextOne() throws Exception {
+        for (String behind : List.of(ANSWER, "noise", "HTTP/1.1 200 OK\r\n")) {
+            for (boolean later : List.of(false, true)) {
+                call(BODY, 0);
+                try (Socket connection = endpoint.accept()) {
+                    request(connection);
+                    answer(connection, ANSWER + (later ? "" : behind));
+                    assertEquals(200, result().status());
+                    calls.free(free.poll(5, TimeUnit.SECONDS), 0);
+                    if (later) {
+                        answer(connection, behind);
+                    }
+                    assertClosed(connection);
+                }
+                call(BODY, 0);
+                try (Socket second = endpoint.accept()) {
+                    request(second);
+                    answer(second, "HTTP/1.1 500 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+                    assertEquals(500, result().status(), behind);
+                }
+                calls.free(free.poll(5, TimeUnit.SECONDS), 0);
+            }
+        }
+    }
+
     @Test
     void connectionsAreBounded() {
         for (int i = 0; i < limits.endpointConnections(); i++) {
--- a/src/test/java/terndyke/node/stage/StageTest.java
+++ b/src/test/java/terndyke/node/stage/StageTest.java
@@ -234,6 +234,23 @@
         assertEquals(Ending.RESET, Send.ending(new Call.Result(0, Ending.RESET, 0, false, null, null)));
     }
 
+    @Test
+    void aReportIsWholeAndInPlainFiguresOrNone() {
+        List<String> fields = List.of("x0", "x1");
+        assertEquals(List.of(0.4f, 25f), floats(Send.report("x1=25, x0=0.4", fields)));
+        for (String spoilt : List.of("", "x0=0.4", "x0=0.4,x1=NaN", "x0=0.4,x1=-1", "x0=Infinity,x1=2", "x0=0.4,x1", "=,,=")) {
+            assertEquals(List.of(), floats(Send.report(spoilt, fields)), spoilt);
+        }
+    }
+
+    private static List<Float> floats(float[] values) {
+        List<Float> list = new ArrayList<>();
+        for (float value : values) {
+            list.add(value);
+        }
+        return list;
+    }
+
     @Test
     void aNoticeIsOneLineOfJson() {
         Owed owed = booked("a\"b\\c\u0007");
