A repeat leaves only inside its window; endpoints long gone are forgotten

Seen: reload broke rule 2 five times right after a kill, all on deduplicated records sent again.

At fault: Held.permits alone checked it. Shoot now says by when its first byte has to leave, and the I/O thread keeps to it; what comes too late is not sent, and the module hears so. Seen beside it: Catalogue.byNumber and Dispatcher.routes kept every endpoint ever listed, members missing from a whole list kept their address, and idle connections went by address, so a newcomer at an old address could get them. Now both forget after a minute (waits are kept), and a Peer is one process at one address.

--- a/src/main/java/terndyke/api/Action.java
+++ b/src/main/java/terndyke/api/Action.java
@@ -3,8 +3,11 @@
 /** What a delivery node is to do. Times are whole microseconds. */
 public sealed interface Action {
 
-    /** Fire the next shot for a record; it is dropped at the clock time notPast. */
-    record Shoot(long id, long endpoint, long notPast) implements Action { }
+    /**
+     * Fire the next shot for a record; it is dropped at the clock time notPast. Where its first byte has not left by
+     * the clock time startBy it does not leave at all, and counts as not sent.
+     */
+    record Shoot(long id, long endpoint, long notPast, long startBy) implements Action { }
 
     /** Stop waiting for a shot. */
     record Recall(long id, int shot) implements Action { }
--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -8,8 +8,7 @@
 
 /** What limits, waits, falls and returns as one: a route where routes are apart, else a whole destination. */
 final class Destination {
-    private static final double CAUTION = 0.9; // how much of a cold destination's budget all nodes use
-    private static final double LISTED_HIGH = 1.5; // a listed rate may be half too high
+    private static final double CAUTION = 0.9, LISTED_HIGH = 1.5; // part of a cold budget used; a list's excess
     private static final long REST = 100_000; // a first rest for each node, spread lest all come back at once
 
     final List<Route> routes = new ArrayList<>();
@@ -19,12 +18,10 @@
     private final Consumer<String> log;
     final List<Call> out = new ArrayList<>();
     private int fine, failed, refusedInRow, failedInRow; // calls that ended so; the first two halved at times
-    private double served, best; // calls done in about one span: now, and surely at best
-    /** The learned pace in calls a second, and what it allows at once. */
-    private double pace = Double.POSITIVE_INFINITY, credit = 1;
-    private long creditAt, paceAt;
+    /** Calls done in about a span, now and surely at best; the learned pace in calls a second, its allowance. */
+    private double served, best, pace = Double.POSITIVE_INFINITY, credit = 1;
     /** When a call was last done or failed, an outage suspected, its end seen; or -1. */
-    private long okAt = -1, failedAt = -1, suspectAt = -1, cleanAt = -1;
+    private long creditAt, paceAt, okAt = -1, failedAt = -1, suspectAt = -1, cleanAt = -1;
     private boolean probeGood;
     long waitUntil;
 
@@ -61,8 +58,7 @@
                 : Math.max(listedRate / LISTED_HIGH / terms.nodes(), 1e6 * best / terms.fallSpan());
     }
 
-    /** Rule 4: this node's part of what a cold destination may get, in calls a second, as it warms. At least
-     * two calls go in a warm-up and, of all nodes, one a span: so few can't push it over. */
+    /** Rule 4: this node's part of a cold destination's calls a second; two a warm-up, one a span are safe. */
     private double returnRate(long now) {
         double warm = cleanAt < 0 ? 0 : Math.min(1, (double) (now - cleanAt) / terms.coldFor());
         double share = terms.coldShare() + (1 - terms.coldShare()) * warm;
@@ -165,7 +161,6 @@
         return served * Math.exp((double) (okAt - now) / terms.fallSpan());
     }
 
-    /** The first rest after a refusal or failure, spread by chance lest all nodes come back at once. */
     long firstRest() {
         return (long) ((0.5 + chance.nextDouble()) * Math.min(2 * terms.fallSpan(), REST * terms.nodes()));
     }
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -12,8 +12,7 @@
  * suspicion of an outage with its budgeted return, in Destination; (3) late shots, (4) payoff order and
  * (5) holding room, here; (6) lines by key, in Held. */
 public final class Dispatcher {
-    private static final double R_HAT = 0.9;
-    private static final double COPY_SHARE = 0.1; // copies that each first shot earns
+    private static final double R_HAT = 0.9, COPY_SHARE = 0.1; // copies that each first shot earns
     private static final long STEP = 20_000, RETRY_REST = 100_000, SOON = 300_000, LATER = 6_000_000;
 
     private final DeliveryTerms terms;
@@ -23,13 +22,12 @@
     private final Set<Destination> busy = new LinkedHashSet<>(); // with calls out, or suspect
     private final Set<Addressee> queued = new LinkedHashSet<>(); // with records that wait
     private final Map<Long, Held> held = new HashMap<>();
-    private final Map<Long, KeyLine> lines = new HashMap<>();
+    private final Map<Long, KeyLine> lines = new HashMap<>(), untold = new HashMap<>(); // by key; by record
     private final TreeSet<Held> byEnd = new TreeSet<>(
             Comparator.comparingLong((Held held) -> held.abandonAt).thenComparingLong(held -> held.id));
     private final Random chance;
     private final Map<Integer, Long> shareUsed = new HashMap<>(); // by tenant: until when
     private List<Action> actions;
-    private final Map<Long, KeyLine> untold = new HashMap<>(); // by record
     private long now, wakeAt, brokenAt, leavesAt = Long.MAX_VALUE;
     private int slotsOut, sickOut; // calls out, in all and at sick destinations
     private double copyCredit;
@@ -77,11 +75,11 @@
 
     private void listTold(Event.ListTold told) {
         if (told.whole()) {
-            routes.values().forEach(route -> route.standing = ListedEndpoint.Standing.GONE);
+            routes.values().forEach(route -> route.stand(ListedEndpoint.Standing.GONE, now));
         }
         for (ListedEndpoint entry : told.entries()) {
             Route route = routes.computeIfAbsent(entry.endpoint(), e -> newRoute(entry));
-            route.standing = entry.standing();
+            route.stand(entry.standing(), now);
             route.destination.listedRate = terms.ratesListed() ? entry.rate() : 0;
         }
     }
@@ -114,8 +112,7 @@
         return record;
     }
 
-    /** Guards rules 2 and 5 over any restart: a shot that was out when the last life ended may have run, and
-     * what is over but untold still has its key. May hurt where such a shot never left. */
+    /** Rules 2 and 5 over any restart: a shot out at the end of the last life may have run. */
     private void owed(Event.RecordOwed owed) {
         Held record = taken(owed.taken());
         for (Event.EarlierShot past : owed.shots()) {
@@ -145,8 +142,7 @@
         return used + each <= now;
     }
 
-    /** Holding room: before the door turns records away unseen, the longest queue hands back what can win
-     * least. Guards against a dead or slow destination filling the room; may hurt a passing clump. */
+    /** Holding room: the longest queue hands back what can win least; may hurt a passing clump. */
     private void makeRoom() {
         if (byEnd.size() >= terms.holdingRoom() - 1) {
             byEnd.stream().filter(record -> record.shotsOut == 0 && record.mayBounce())
@@ -227,7 +223,8 @@
 
     private void tick() {
         lines.values().removeIf(line -> line.idle(now));
-        busy.removeIf(destination -> destination.out.isEmpty() && !destination.suspect());
+        routes.values().removeIf(route -> route.forgotten(now));
+        busy.removeIf(target -> target.out.isEmpty() && (!target.suspect() || target.routes.isEmpty()));
         long out = busy.stream().filter(destination -> !destination.out.isEmpty()).count();
         long late = busy.stream().filter(destination -> destination.overdue(now) > 0).count();
         String why = late > 2 && 2 * late > out ? null : late + " of " + out + " late"; // or slow everywhere
@@ -244,8 +241,7 @@
         }
     }
 
-    /** An overdue shot is doubled, or recalled where copies are barred or the sick crowd the slots. Covers
-     * silence, slowness and lost calls alike; may hurt a destination that is slow but at work. */
+    /** An overdue shot is doubled, or recalled where copies are barred or the sick crowd the slots. */
     private void lateShot(Held record) {
         Shot shot = record.shots.stream().filter(s -> s.ending == null).findFirst().orElseThrow();
         Route route = shot.call.route;
@@ -347,11 +343,11 @@
             route.addressee.callsOut++;
             sickOut += route.destination.sick(now) ? 1 : 0;
         }
+        actions.add(new Action.Shoot(record.id, route.endpoint, record.abandonAt, record.repeatBy(terms)));
         route.destination.joined(route.joinable.records++);
         route.joinable.out++;
         record.shots.add(new Shot(route.joinable));
         record.shotsOut++;
         record.addressee.waiting.remove(record);
-        actions.add(new Action.Shoot(record.id, route.endpoint, record.abandonAt));
     }
 }
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -31,15 +31,20 @@
 
     /** Rule 2: may another shot go by this route now, once the given one out, if any, is recalled? */
     boolean permits(Route route, long now, DeliveryTerms terms, Shot recalled) {
-        return !over && shots.size() < terms.shotsPerRecord() && shots.stream().noneMatch(shot ->
-                shot.ending == null && shot != recalled && (!terms.copies() || shot.call.route == route)
-                || shot.mayHaveRun() && (outlived(shot, now, terms) || shot.call.route.zone != route.zone
-                && grade.effect() == Effect.DEDUPLICATED && !grade.anyEndpointDeduplicates()));
+        return !over && shots.size() < terms.shotsPerRecord() && now < repeatBy(terms) && shots.stream().noneMatch(
+                shot -> shot.ending == null && shot != recalled && (!terms.copies() || shot.call.route == route)
+                || shot.mayHaveRun() && shot.call.route.zone != route.zone
+                && grade.effect() == Effect.DEDUPLICATED && !grade.anyEndpointDeduplicates());
     }
 
-    private boolean outlived(Shot shot, long now, DeliveryTerms terms) {
-        return grade.effect() == Effect.UNREPEATABLE || grade.effect() == Effect.DEDUPLICATED
-                && now >= shot.call.firedAt + grade.memory() - 2 * terms.turn();
+    /** Rule 2: until when another shot may leave, however late this turn is or its connection comes up. */
+    long repeatBy(DeliveryTerms terms) {
+        long by = Long.MAX_VALUE;
+        for (Shot shot : grade.effect() == Effect.IDEMPOTENT ? List.<Shot>of() : shots) {
+            by = !shot.mayHaveRun() ? by : grade.effect() == Effect.UNREPEATABLE ? 0
+                    : Math.min(by, shot.call.firedAt + grade.memory() - 2 * terms.turn());
+        }
+        return by;
     }
 
     /** Rule 2: does a bounce keep its promise that trying again is harmless? */
@@ -49,8 +54,7 @@
     }
 
     boolean hopeless(long now, DeliveryTerms terms) {
-        return shotsOut == 0 && (shots.size() >= terms.shotsPerRecord()
-                || shots.stream().anyMatch(shot -> shot.mayHaveRun() && outlived(shot, now, terms)));
+        return shotsOut == 0 && (shots.size() >= terms.shotsPerRecord() || now >= repeatBy(terms));
     }
 
     double payoffAt(long time, DeliveryTerms terms) {
@@ -119,8 +123,7 @@
     static final class Addressee {
         final List<Route> routes = new ArrayList<>(4);
         final Set<Held> waiting = new LinkedHashSet<>();
-        int perCall = 1; // how many records one call may carry
-        int callsOut;
+        int perCall = 1, callsOut; // how many records one call may carry; calls out
         Held next; // the record to shoot next in this turn, and how dear it is
         double nextUrgency;
         boolean sick;
--- a/src/main/java/terndyke/decision/Outcomes.java
+++ b/src/main/java/terndyke/decision/Outcomes.java
@@ -6,8 +6,7 @@
 
 /** The last fifty outcomes of one route, or of one hall's, each dropped after a minute. */
 final class Outcomes {
-    static final long KEPT_FOR = 60_000_000;
-    private static final int KEPT = 50;
+    static final long KEPT_FOR = 60_000_000, KEPT = 50;
 
     private final Deque<Outcome> kept = new ArrayDeque<>(0);
     private RoutePicker.Fit fit;
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -18,9 +18,9 @@
     Call joinable; // the call of the present turn, which further records may join
     /** Rests after failures, so that one bad endpoint of several costs few shots; hurts if all fail. */
     long restUntil;
-    int calls;
     final Outcomes outcomes = new Outcomes(), hall;
-    private int failuresInRow;
+    int calls, failuresInRow;
+    private long goneAt = Long.MAX_VALUE;
 
     Route(long endpoint, int zone, Addressee addressee, Destination destination, Outcomes hall) {
         this.endpoint = endpoint;
@@ -34,6 +34,17 @@
         return standing == ListedEndpoint.Standing.READY;
     }
 
+    void stand(ListedEndpoint.Standing told, long now) {
+        goneAt = told == ListedEndpoint.Standing.GONE ? Math.min(goneAt, now) : Long.MAX_VALUE;
+        standing = told;
+    }
+
+    /** Gone for as long as outcomes last: guards against lists that always bring new ones. Waits are kept. */
+    boolean forgotten(long now) {
+        return goneAt < now - Outcomes.KEPT_FOR && now >= destination.waitUntil
+                && (addressee.routes.remove(this) | destination.routes.remove(this));
+    }
+
     void learn(long now, Ending ending, long spent) {
         outcomes.add(now, ending, spent);
         hall.add(now, ending, spent);
@@ -49,8 +60,7 @@
         return (long) Math.max(OVERDUE_LEAST, fit.t() + 9 * spread);
     }
 
-    /** The route's fit or, until it has outcomes of its own, that of all routes in its hall. Guards
-     * against quiet nodes that know next to no route; may hurt where a hall's destinations differ much. */
+    /** Until it has outcomes of its own, a route takes its hall's fit: quiet nodes know next to no route. */
     Fit fit(long now) {
         Fit own = outcomes.fit(now);
         return own != null ? own : hall.fit(now) != null ? hall.fit(now) : UNKNOWN;
--- a/src/main/java/terndyke/decision/RoutePicker.java
+++ b/src/main/java/terndyke/decision/RoutePicker.java
@@ -6,8 +6,7 @@
 /** The paper's mechanism (HomoService), pure: of the routes' fits, the subset called together that maximises
  * (L + L-hat)/L x (T + T-hat)/T, with reliability at least R-hat and cost (one unit a call) within C-hat. */
 final class RoutePicker {
-    private static final double BEYOND_TAIL = 0.05; // T is the 95th percentile
-    private static final double LEAST_SPREAD = 1_000;
+    private static final double BEYOND_TAIL = 0.05, LEAST_SPREAD = 1_000; // T is the 95th percentile
 
     /** A route's shifted exponential, F(x) = 1 - e^(-(x-t)/(m-t)) for x >= t, and its served fraction r. */
     record Fit(double t, double m, double r) {
--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -47,7 +47,7 @@
         List<String> unread = new ArrayList<>();
         Event.ListTold known = new Event.ListTold(List.of(), true);
         try {
-            known = charter.known().isEmpty() ? known : catalogue.take(charter.known(), unread);
+            known = charter.known().isEmpty() ? known : catalogue.take(charter.known(), clock.now(), unread);
         } catch (IOException e) {
             log.warn("known list passed over: " + e.getMessage());
         }
--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -14,6 +14,7 @@
         int requestsWaiting, int passedOver, long answerWithin,
         long watchWait, long watchSlack, long resend, long unanswered, long probeTimeout, long unbooked,
         long longestRecord, long longestSleep, long selectEvery, long sweepEvery, long rememberFor,
+        long rememberGone, int goneAtMost,
         long startWithin, long leaveWithin, long leaveLast, long closeWithin) {
 
     /** Shares out a machine's memory, descriptors and disk, with the terms' bounds on calls and records. */
@@ -32,6 +33,6 @@
                 2_000_000, 2_600_000, 3_000_000, 2_000_000, 2_100_000, 50_000, 8, 8 << 20, 350_000,
                 4_000_000, 1_500_000, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
-                10_000_000, 2_600_000, 1_000_000, 200_000);
+                60_000_000, 1024, 10_000_000, 2_600_000, 1_000_000, 200_000);
     }
 }
--- a/src/main/java/terndyke/node/discovery/Catalogue.java
+++ b/src/main/java/terndyke/node/discovery/Catalogue.java
@@ -4,8 +4,12 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import terndyke.api.Event;
 import terndyke.api.ListedEndpoint;
@@ -18,17 +22,20 @@
     private final List<String> zones;
     private final List<String> kinds;
     private final Map<String, Member> byName = new HashMap<>();
-    private final List<Member> byNumber = new ArrayList<>();
-    private final Map<Integer, Integer> destinations = new HashMap<>();
-    private final List<InetSocketAddress> left = new ArrayList<>();
+    private final Map<Long, Member> byNumber = new HashMap<>();
+    private final Set<Integer> destinations = new HashSet<>();
+    private final Set<Member> gone = new LinkedHashSet<>(); // longest first
+    private final List<Calls.Peer> left = new ArrayList<>();
     private long version;
+    private long lastNumber = -1;
 
     /** One endpoint: its number is for this life of the node alone. */
     public static final class Member {
         private final String uid;
         private final long number;
         private ListedEndpoint listed;
-        private InetSocketAddress address;
+        private Calls.Peer peer;
+        private long goneAt;
 
         private Member(String uid, long number) {
             this.uid = uid;
@@ -51,8 +58,8 @@
             return listed.zone();
         }
 
-        public InetSocketAddress address() {
-            return address;
+        public Calls.Peer peer() {
+            return peer;
         }
     }
 
@@ -66,11 +73,11 @@
     }
 
     public boolean knows(int destination) {
-        return destinations.containsKey(destination);
+        return destinations.contains(destination);
     }
 
     public Member member(long number) {
-        return number >= 0 && number < byNumber.size() ? byNumber.get((int) number) : null;
+        return byNumber.get(number);
     }
 
     public Member member(String uid) {
@@ -78,7 +85,7 @@
     }
 
     /** Takes in an answer of discovery; entries that cannot be read are passed over and told in the list. */
-    public Event.ListTold take(Map<String, String> told, List<String> unread) throws IOException {
+    public Event.ListTold take(Map<String, String> told, long now, List<String> unread) throws IOException {
         long rev;
         int count;
         try {
@@ -90,36 +97,60 @@
         List<ListedEndpoint> entries = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             try {
-                entries.add(entry(told, "targets." + i + ".", entries));
+                entries.add(entry(told, "targets." + i + ".", now, entries));
             } catch (IllegalArgumentException e) {
                 unread.add("entry " + i + ": " + e.getMessage());
             }
         }
         version = rev;
-        return new Event.ListTold(entries, Boolean.parseBoolean(told.get("all")));
+        boolean whole = Boolean.parseBoolean(told.get("all"));
+        if (whole) {
+            Set<ListedEndpoint> listed = new HashSet<>(entries);
+            byNumber.values().stream().filter(member -> !listed.contains(member.listed))
+                    .forEach(member -> leave(member, now));
+        }
+        return new Event.ListTold(entries, whole);
     }
 
-    private void leave(Member member, List<ListedEndpoint> entries) {
-        ListedEndpoint was = member.listed;
-        member.listed = new ListedEndpoint(was.endpoint(), was.zone(), was.kind(), was.rate(), Standing.GONE,
-                was.joined(), was.destination());
-        entries.add(member.listed);
-        left.add(member.address);
+    private void leave(Member member, long now) {
+        if (gone.add(member)) {
+            ListedEndpoint was = member.listed;
+            member.goneAt = now;
+            member.listed = new ListedEndpoint(was.endpoint(), was.zone(), was.kind(), was.rate(), Standing.GONE,
+                    was.joined(), was.destination());
+            left.add(member.peer);
+        }
     }
 
-    /** The addresses that endpoints have left since the last call. */
-    public List<InetSocketAddress> left() {
-        List<InetSocketAddress> since = List.copyOf(left);
+    /** Who has left its address since the last call. */
+    public List<Calls.Peer> left() {
+        List<Calls.Peer> since = List.copyOf(left);
         left.clear();
         return since;
     }
 
+    /**
+     * Forgets who was gone before that time, and the longest gone of too many. Guards against lists that always bring
+     * new endpoints; one that comes back later is a new one, and the module knows nothing of its past.
+     */
+    public void forget(long before, int atMost) {
+        for (Iterator<Member> all = gone.iterator(); all.hasNext();) {
+            Member member = all.next();
+            if (member.goneAt >= before && gone.size() <= atMost) {
+                return;
+            }
+            all.remove();
+            byName.remove(member.uid, member);
+            byNumber.remove(member.number);
+        }
+    }
+
     /** Takes in an answer as it came over the socket. */
-    public Event.ListTold take(byte[] json, List<String> unread) throws IOException {
-        return take(FlatJson.read(json), unread);
+    public Event.ListTold take(byte[] json, long now, List<String> unread) throws IOException {
+        return take(FlatJson.read(json), now, unread);
     }
 
-    private ListedEndpoint entry(Map<String, String> told, String at, List<ListedEndpoint> entries) {
+    private ListedEndpoint entry(Map<String, String> told, String at, long now, List<ListedEndpoint> entries) {
         String uid = told.get(at + "uid");
         InetSocketAddress address = Calls.address(told.get(at + "endpoint"));
         Standing standing = switch (String.valueOf(told.get(at + "state"))) {
@@ -131,27 +162,32 @@
         Member known = uid == null ? null : byName.get(uid);
         String group = told.get(at + "pod_group");
         if (known != null && group != null && Integer.parseInt(group) != known.destination()) {
-            leave(known, entries); // its number stays with its old destination
+            leave(known, now); // its number stays with its old destination
+            entries.add(known.listed);
             known = null;
         }
         if (uid == null || address == null && (known == null || standing == Standing.READY)) {
             throw new IllegalArgumentException("no uid or no address in numbers");
         }
         int destination = known != null ? known.destination() : Integer.parseInt(group);
-        Member member = known != null ? known : new Member(uid, byNumber.size());
+        Member member = known != null ? known : new Member(uid, ++lastNumber);
         float rate = Float.parseFloat(told.getOrDefault(at + "capacity_hint", "0"));
         member.listed = new ListedEndpoint(member.number, Math.max(0, zones.indexOf(told.get(at + "az"))),
                 Math.max(0, kinds.indexOf(told.get(at + "model"))), Float.isFinite(rate) ? rate : 0, standing,
                 Long.parseLong(told.getOrDefault(at + "boot_ms", "0")) * 1000, destination);
-        if (member.address != null && (standing == Standing.GONE || !member.address.equals(address))) {
-            left.add(member.address);
+        Calls.Peer was = member.peer;
+        boolean moved = address != null && (was == null || !was.address().equals(address) || gone.contains(member));
+        if (was != null && moved) {
+            left.add(was);
         }
-        member.address = address != null ? address : member.address;
-        if (known == null) {
-            byName.put(uid, member);
-            byNumber.add(member);
-            destinations.merge(destination, 1, Integer::sum);
+        member.peer = moved ? new Calls.Peer(address) : was;
+        gone.remove(member);
+        if (standing == Standing.GONE) {
+            leave(member, now);
         }
+        byName.put(uid, member);
+        byNumber.put(member.number, member);
+        destinations.add(destination);
         return member.listed;
     }
 }
--- a/src/main/java/terndyke/node/discovery/Watch.java
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -17,7 +17,7 @@
     private static final byte[] NOTHING = new byte[0];
 
     private final Limits limits;
-    private InetSocketAddress discovery;
+    private Calls.Peer discovery;
     private final Catalogue catalogue;
     private final Calls calls;
     private final NodeLog log;
@@ -32,7 +32,7 @@
     public Watch(Limits limits, InetSocketAddress discovery, Catalogue catalogue, Calls calls, NodeLog log,
             BiConsumer<Long, Call.Result> whenAnswered) {
         this.limits = limits;
-        this.discovery = discovery;
+        this.discovery = new Calls.Peer(discovery);
         this.catalogue = catalogue;
         this.calls = calls;
         this.log = log;
@@ -53,13 +53,13 @@
 
     /** Follows discovery to another address: a fresh watch with the whole list; until it is told the old one stays. */
     public void moveTo(InetSocketAddress address) {
-        if (!address.equals(discovery)) {
+        if (!address.equals(discovery.address())) {
             if (out) {
                 calls.cancel(line);
                 out = false;
             }
-            calls.dropIdle(discovery);
-            discovery = address;
+            calls.left(discovery);
+            discovery = new Calls.Peer(address);
             afresh = true;
             dueAt = 0;
         }
@@ -69,7 +69,7 @@
         String path = "/catalog/members" + (afresh ? ""
                 : "?after=" + catalogue.version() + "&wait_ms=" + limits.watchWait() / 1000);
         long sent = ++round;
-        line = calls.start(discovery, new Call("GET", path, new String[] {"Host", discovery.getHostString()}, NOTHING),
+        line = calls.start(discovery, new Call("GET", path, new String[] {"Host", discovery.host()}, NOTHING),
                 now, result -> whenAnswered.accept(sent, result));
         out = line != null;
         dueAt = now + (!out ? limits.resend() : afresh ? limits.unanswered() : limits.watchWait() + limits.watchSlack());
@@ -88,7 +88,7 @@
         }
         try {
             List<String> unread = new ArrayList<>();
-            Event.ListTold list = catalogue.take(result.body(), unread);
+            Event.ListTold list = catalogue.take(result.body(), now, unread);
             unread.forEach(text -> log.warn("list: " + text));
             dueAt = now;
             afresh = false;
--- a/src/main/java/terndyke/node/http/Call.java
+++ b/src/main/java/terndyke/node/http/Call.java
@@ -2,8 +2,13 @@
 
 import terndyke.api.Ending;
 
-/** One call on an endpoint, in the form in which it goes out. The head ends with its empty line. */
-public record Call(String method, String path, String[] headers, byte[] body) {
+/** One call on an endpoint, in the form in which it goes out, and by when on the node's clock its first byte may leave. */
+public record Call(String method, String path, String[] headers, byte[] body, long startBy) {
+
+    /** A call that may start whenever its connection is up. */
+    public Call(String method, String path, String[] headers, byte[] body) {
+        this(method, path, headers, body, Long.MAX_VALUE);
+    }
 
     /** What came back. Status is 0 and ending says why where there was no readable answer. */
     public record Result(int status, Ending ending, long waitTold, boolean lineBusy, String load, byte[] body) {
--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.EntityDetails;
@@ -47,24 +48,48 @@
     private final Reactor reactor;
     private final Limits limits;
     private final Counters counters;
+    private final LongSupplier clock;
     private final Consumer<Line> whenFree;
-    private final Map<InetSocketAddress, Deque<Line>> idle = new HashMap<>();
+    private final Map<Peer, Deque<Line>> idle = new HashMap<>();
     private int open;
 
-    public Calls(Reactor reactor, Limits limits, Counters counters, Consumer<Line> whenFree) {
+    public Calls(Reactor reactor, Limits limits, Counters counters, LongSupplier clock, Consumer<Line> whenFree) {
         this.reactor = reactor;
         this.limits = limits;
         this.counters = counters;
+        this.clock = clock;
         this.whenFree = whenFree;
     }
 
+    /**
+     * Whoever answers at an address, for as long as it is that one: what comes to the same address later is another
+     * peer and gets nothing of this one's connections.
+     */
+    public static final class Peer {
+        private final InetSocketAddress address;
+        private boolean gone;
+
+        public Peer(InetSocketAddress address) {
+            this.address = address;
+        }
+
+        public InetSocketAddress address() {
+            return address;
+        }
+
+        /** As a Host header names it. */
+        public String host() {
+            return address.getHostString() + ":" + address.getPort();
+        }
+    }
+
     /**
      * One connection, with the call that is on it. What comes while no call waits for an answer belongs to none: the
      * connection goes, and the earlier answer stands. Guards against second copies of an answer and noise behind it,
      * which would else be taken for the answer to the next call; covers endpoints that close or go mad while idle.
      */
     public final class Line {
-        private final InetSocketAddress address;
+        private final Peer peer;
         private volatile IOSession session;
         private volatile HttpConnection connection;
         private volatile boolean dropped;
@@ -77,8 +102,8 @@
         private AnswerHeads heads;
         private boolean inInput;
 
-        private Line(InetSocketAddress address) {
-            this.address = address;
+        private Line(Peer peer) {
+            this.peer = peer;
         }
 
         /** The reader of this connection's answers. */
@@ -138,8 +163,8 @@
     }
 
     /** Starts a call; the sink hears of it once. Returns what cancel() takes, or null where no socket is left. */
-    public Line start(InetSocketAddress address, Call call, long now, Call.Sink sink) {
-        Deque<Line> free = idle.getOrDefault(address, new ArrayDeque<>(0));
+    public Line start(Peer peer, Call call, long now, Call.Sink sink) {
+        Deque<Line> free = idle.getOrDefault(peer, new ArrayDeque<>(0));
         for (Line line = free.pollLast(); line != null; line = free.pollLast()) {
             if (line.usable() && now - line.idleSince < limits.idleClose()) {
                 line.exchange = new Exchange(line, call, sink);
@@ -151,12 +176,12 @@
         if (open >= limits.endpointConnections() && !dropOldest()) {
             return null;
         }
-        Line line = new Line(address);
+        Line line = new Line(peer);
         line.exchange = new Exchange(line, call, sink);
         open++;
         counters.add(Count.CONNECTIONS_OPENED);
         Exchange exchange = line.exchange;
-        line.coming = reactor.connect(address, limits.connectTimeout(), line, new FutureCallback<>() {
+        line.coming = reactor.connect(peer.address, limits.connectTimeout(), line, new FutureCallback<>() {
             @Override
             public void completed(IOSession session) {
                 session.enqueue(exchange.command(), Command.Priority.NORMAL);
@@ -189,18 +214,24 @@
 
     /** Takes back a line whose call is over, for the next call where it is still open. */
     public void free(Line line, long now) {
-        if (line.usable() && !line.dropped && !line.last && limits.idleClose() > 0) {
+        if (line.usable() && !line.dropped && !line.last && !line.peer.gone && limits.idleClose() > 0) {
             line.idleSince = now;
             line.exchange = null;
-            idle.computeIfAbsent(line.address, a -> new ArrayDeque<>(4)).addLast(line);
+            idle.computeIfAbsent(line.peer, p -> new ArrayDeque<>(4)).addLast(line);
         } else {
             drop(line);
         }
     }
 
-    /** Closes the idle connections to an address. */
-    public void dropIdle(InetSocketAddress address) {
-        Deque<Line> free = idle.remove(address);
+    /** A peer has left its address: none of its connections is used again. */
+    public void left(Peer peer) {
+        peer.gone = true;
+        dropIdle(peer);
+    }
+
+    /** Closes the idle connections to a peer. */
+    public void dropIdle(Peer peer) {
+        Deque<Line> free = idle.remove(peer);
         if (free != null) {
             free.forEach(this::drop);
         }
@@ -227,7 +258,7 @@
             oldest = first != null && (oldest == null || first.idleSince < oldest.idleSince) ? first : oldest;
         }
         if (oldest != null) {
-            idle.get(oldest.address).remove(oldest);
+            idle.get(oldest.peer).remove(oldest);
             drop(oldest);
         }
         return oldest != null;
@@ -327,6 +358,10 @@
         @Override
         public void produceRequest(RequestChannel channel, HttpContext context)
                 throws HttpException, IOException {
+            if (clock.getAsLong() >= call.startBy()) {
+                end(Call.Result.none(Ending.NOT_SENT)); // its connection, or this thread, came too late
+                throw new IOException("call is too late to start");
+            }
             BasicHttpRequest request = new BasicHttpRequest(call.method(), call.path());
             int size = call.method().length() + call.path().length() + " ".length() + " HTTP/1.1\r\n".length() + 2;
             for (int i = 0; i < call.headers().length; i += 2) {
--- a/src/main/java/terndyke/node/stage/Book.java
+++ b/src/main/java/terndyke/node/stage/Book.java
@@ -52,7 +52,7 @@
             } else if (owed == null) {
                 log.warn("journal: " + entry.getClass().getSimpleName() + " of a record that it does not hold");
             } else if (entry instanceof Entry.ShotFired fired) {
-                owed.shots.add(new Owed.Shot(fired.shot(), fired.endpoint(), fired.zone(), fired.at()));
+                owed.shots.add(new Owed.Shot(fired.shot(), -1, fired.endpoint(), fired.zone(), fired.at()));
             } else if (entry instanceof Entry.ShotOver shotOver) {
                 owed.shots.stream().filter(shot -> shot.number == shotOver.shot())
                         .forEach(shot -> shot.ending = shotOver.ending());
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -61,7 +61,7 @@
         this.catalogue = catalogue;
         this.keyRest = charter.terms().keyRest();
         this.grades = charter.terms().grades().size();
-        calls = new Calls(reactor, limits, counters, line -> post(new Word.LineFree(line)));
+        calls = new Calls(reactor, limits, counters, clock::now, line -> post(new Word.LineFree(line)));
         route = new Route(new Dispatcher(charter.terms()));
         takeIn = new TakeIn(book.lastNumber());
         admit = new Admit(limits, counters, catalogue, book);
@@ -137,6 +137,7 @@
         if (now >= sweepAt) {
             sweepAt = now + limits.sweepEvery();
             calls.sweep(now);
+            catalogue.forget(now - limits.rememberGone(), limits.goneAtMost());
             book.forget(now, Math.max(keyRest, limits.rememberFor()));
             book.tidy();
         }
@@ -162,7 +163,7 @@
             if (told != null) {
                 counters.add(Count.LISTS_TOLD);
                 route.tell(told);
-                catalogue.left().forEach(calls::dropIdle);
+                catalogue.left().forEach(calls::left);
             }
         } else if (word instanceof Word.Moved moved) {
             watch.moveTo(moved.address());
--- a/src/main/java/terndyke/node/stage/Owed.java
+++ b/src/main/java/terndyke/node/stage/Owed.java
@@ -22,14 +22,16 @@
     /** One shot; ending is null while it is out. */
     static final class Shot {
         final int number;
+        final long target; // the endpoint's number in this life, or -1
         final String endpoint;
         final int zone;
         final long firedAt;
         Ending ending;
         Calls.Line line;
 
-        Shot(int number, String endpoint, int zone, long firedAt) {
+        Shot(int number, long target, String endpoint, int zone, long firedAt) {
             this.number = number;
+            this.target = target;
             this.endpoint = endpoint;
             this.zone = zone;
             this.firedAt = firedAt;
--- a/src/main/java/terndyke/node/stage/Relay.java
+++ b/src/main/java/terndyke/node/stage/Relay.java
@@ -21,7 +21,7 @@
 public final class Relay {
     private final Limits limits;
     private final Counters counters;
-    private InetSocketAddress platform;
+    private Calls.Peer platform;
     private final Calls calls;
     private final Route route;
     private final Book book;
@@ -39,7 +39,7 @@
             Timers timers, NodeLog log, Desk desk) {
         this.limits = limits;
         this.counters = counters;
-        this.platform = platform;
+        this.platform = new Calls.Peer(platform);
         this.calls = calls;
         this.route = route;
         this.book = book;
@@ -104,7 +104,7 @@
         StringBuilder lines = new StringBuilder();
         batch.forEach(owed -> lines.append(line(owed)).append('\n'));
         byte[] body = lines.toString().getBytes(StandardCharsets.UTF_8);
-        Call call = new Call("POST", "/v2/finals", new String[] {"Host", platform.getHostString(),
+        Call call = new Call("POST", "/v2/finals", new String[] {"Host", platform.host(),
             "Content-Type", "application/json", "Content-Length", Integer.toString(body.length)}, body);
         long sent = ++round;
         line = calls.start(platform, call, now, result -> desk.post(new Word.Noticed(sent, batch, result)));
@@ -124,13 +124,14 @@
 
     /** From now on notices go to another address; those not yet answered go there again. */
     void moveTo(InetSocketAddress address) {
-        if (!address.equals(platform)) {
+        if (!address.equals(platform.address())) {
             if (out) {
                 calls.cancel(line);
                 out = false;
                 round++;
             }
-            platform = address;
+            calls.left(platform);
+            platform = new Calls.Peer(address);
             restUntil = 0;
         }
     }
--- a/src/main/java/terndyke/node/stage/Send.java
+++ b/src/main/java/terndyke/node/stage/Send.java
@@ -1,6 +1,5 @@
 package terndyke.node.stage;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -53,11 +52,11 @@
             return;
         }
         Catalogue.Member member = catalogue.member(endpoint);
-        Owed.Shot shot = new Owed.Shot(owed.shots.size(), member == null ? "" : member.uid(),
+        Owed.Shot shot = new Owed.Shot(owed.shots.size(), endpoint, member == null ? "" : member.uid(),
                 member == null ? 0 : member.zone(), now);
         owed.shots.add(shot);
         boolean lawful = member != null && member.destination() == owed.taken.destination() && owed.open()
-                && notPast > now;
+                && notPast > now && shoot.startBy() > desk.now();
         if (!lawful) {
             over(owed, shot, endpoint, Ending.NOT_SENT, now, 0, false, NO_REPORT);
             return;
@@ -68,7 +67,7 @@
             return;
         }
         counters.add(Count.SHOTS);
-        shot.line = calls.start(member.address(), call(owed, member.address(), notPast - now), now,
+        shot.line = calls.start(member.peer(), call(owed, member.peer(), notPast - now, shoot.startBy()), now,
                 result -> desk.post(new Word.ShotOver(owed, shot, endpoint, result, desk.now())));
         if (shot.line == null) {
             over(owed, shot, endpoint, Ending.NOT_SENT, now, 0, true, NO_REPORT);
@@ -77,28 +76,21 @@
         }
     }
 
-    private static Call call(Owed owed, InetSocketAddress address, long wait) {
-        List<String> headers = new ArrayList<>(List.of("Host", host(address), "Request-Id", owed.taken.id()));
+    private static Call call(Owed owed, Calls.Peer peer, long wait, long startBy) {
+        List<String> headers = new ArrayList<>(List.of("Host", peer.host(), "Request-Id", owed.taken.id()));
         if (owed.taken.mark() != null) {
             headers.addAll(List.of("Idempotency-Key", owed.taken.mark()));
         }
         headers.addAll(List.of("Request-Timeout-Ms", Long.toString(Math.max(1, wait / 1000)),
                 "Content-Length", Integer.toString(owed.taken.body().length)));
-        return new Call("POST", "/events", headers.toArray(String[]::new), owed.taken.body());
-    }
-
-    private static String host(InetSocketAddress address) {
-        return address.getHostString() + ":" + address.getPort();
+        return new Call("POST", "/events", headers.toArray(String[]::new), owed.taken.body(), startBy);
     }
 
     /** Gives up one shot at the module's word. */
     void recall(Owed owed, int number) {
         if (number < owed.shots.size()) {
             Owed.Shot shot = owed.shots.get(number);
-            Catalogue.Member member = catalogue.member(shot.endpoint);
-            if (member != null) {
-                giveUp(owed, shot, member.number(), Ending.RECALLED);
-            }
+            giveUp(owed, shot, shot.target, Ending.RECALLED);
         }
     }
 
@@ -187,9 +179,9 @@
         if (member == null) {
             return;
         }
-        Call call = new Call("GET", "/ping", new String[] {"Host", host(member.address())}, NOTHING);
+        Call call = new Call("GET", "/ping", new String[] {"Host", member.peer().host()}, NOTHING);
         Probing probing = new Probing(member, now);
-        probing.line = probesOut >= limits.probes() ? null : calls.start(member.address(), call, now,
+        probing.line = probesOut >= limits.probes() ? null : calls.start(member.peer(), call, now,
                 result -> desk.post(new Word.ProbeOver(probing, result, desk.now())));
         if (probing.line == null) {
             route.tell(new Event.ProbeEnded(endpoint, Ending.NOT_SENT, 0, NO_REPORT));
@@ -249,7 +241,7 @@
     void dropConnections(long endpoint) {
         Catalogue.Member member = catalogue.member(endpoint);
         if (member != null) {
-            calls.dropIdle(member.address());
+            calls.dropIdle(member.peer());
         }
     }
 }
--- a/src/test/java/terndyke/decision/DispatcherTest.java
+++ b/src/test/java/terndyke/decision/DispatcherTest.java
@@ -353,4 +353,23 @@
         }
         assertFalse(actions.contains(new Action.DropConnections(11)));
     }
+
+    @Test
+    void anEndpointBackFromBeingGoneKeepsItsWaitAndOneLongGoneStartsAnew() {
+        for (long away : List.of(20_000_000L, 70_000_000L)) {
+            Dispatcher dispatcher = dispatcher(terms(true, false, 100), 1);
+            dispatcher.turn(START, List.of(new Event.ListTold(List.of(listed(12, 1, 1, Standing.GONE)), false)));
+            dispatcher.turn(START, List.of(taken(1, Given.IDEMPOTENT)));
+            dispatcher.turn(START + 1000, List.of(ended(1, 0, 11, Ending.FULL, 30_000_000)));
+            dispatcher.turn(START + 2000, List.of(new Event.ListTold(List.of(listed(11, 0, 1, Standing.GONE)), false)));
+            long back = START + away;
+            for (long now = START + 2_000_000; now < back; now += 2_000_000) { // there is always something to do
+                dispatcher.turn(now, List.of(taken(now, Given.IDEMPOTENT), new Event.Woken(0)));
+            }
+            List<Action> actions = dispatcher.turn(back,
+                    List.of(new Event.ListTold(List.of(listed(11, 0, 1, Standing.READY)), false)));
+            actions.addAll(wakeUntil(dispatcher, back + 10_000, back + 500_000));
+            assertEquals(away < 30_000_000, only(Shoot.class, actions).isEmpty(), "away for " + away);
+        }
+    }
 }
--- a/src/test/java/terndyke/decision/RestartTest.java
+++ b/src/test/java/terndyke/decision/RestartTest.java
@@ -45,6 +45,17 @@
         assertEquals(List.of(12L), endpointsShot(owed(1, Given.DEDUPLICATED, 900_000, null, false)));
     }
 
+    /** The window of the grade is 4 s, and the earlier shot went 0.9 s ago. */
+    @Test
+    void aRepeatHasToLeaveInsideTheWindowHoweverLateTheTurnIs() {
+        Shoot again = only(Shoot.class, dispatcher(terms(true, true, 100), 0).turn(START,
+                List.of(owed(1, Given.DEDUPLICATED, 900_000, null, false)))).get(0);
+        assertTrue(again.startBy() < START + 3_100_000 && again.startBy() > START + 3_000_000);
+        Shoot free = only(Shoot.class, dispatcher(terms(true, true, 100), 0).turn(START,
+                List.of(owed(1, Given.IDEMPOTENT, 900_000, null, false)))).get(0);
+        assertEquals(Long.MAX_VALUE, free.startBy());
+    }
+
     @Test
     void aDeduplicatedRecordPastItsWindowIsTerminated() {
         Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
