--- a/src/main/java/terndyke/api/Action.java
+++ b/src/main/java/terndyke/api/Action.java
@@ -9,6 +9,9 @@
      */
     record Shoot(long id, long endpoint, long notPast, long startBy) implements Action { }
 
+    /** Calls to an endpoint that have not begun to leave do not leave; they count as not sent. */
+    record Withhold(long endpoint) implements Action { }
+
     /** Stop waiting for a shot. */
     record Recall(long id, int shot) implements Action { }
 
--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -91,7 +91,6 @@
         return route;
     }
 
-    /** Counts a call that goes out; unpaced calls leave no debt. */
     void fired(Call call) {
         out.add(call);
         credit = Math.max(suspect() ? -1 : 0, credit - 1);
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -212,6 +212,8 @@
             busy.add(route.destination);
         }
         route.destination.told(now, ended.waitTold(), ended.report());
+        route.destination.routes.stream().filter(r -> ended.waitTold() > 0)
+                .forEach(r -> actions.add(new Action.Withhold(r.endpoint)));
         if (call.out == 0) {
             slotsOut--;
             route.addressee.callsOut--;
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -4,7 +4,6 @@
 import terndyke.decision.Held.*;
 import terndyke.decision.RoutePicker.Fit;
 
-/** One endpoint of an addressee, with its outcomes. */
 final class Route {
 
     static final long OVERDUE_LEAST = 400_000;
--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -7,9 +7,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -51,6 +53,7 @@
     private final LongSupplier clock;
     private final Consumer<Line> whenFree;
     private final Map<Peer, Deque<Line>> idle = new HashMap<>();
+    private final Set<Line> busy = new HashSet<>(); // with a call on them
     private int open;
 
     public Calls(Reactor reactor, Limits limits, Counters counters, LongSupplier clock, Consumer<Line> whenFree) {
@@ -169,6 +172,7 @@
             if (line.usable() && now - line.idleSince < limits.idleClose()) {
                 line.exchange = new Exchange(line, call, sink);
                 line.session.enqueue(line.exchange.command(), Command.Priority.NORMAL);
+                busy.add(line);
                 return line;
             }
             drop(line);
@@ -178,6 +182,7 @@
         }
         Line line = new Line(peer);
         line.exchange = new Exchange(line, call, sink);
+        busy.add(line);
         open++;
         counters.add(Count.CONNECTIONS_OPENED);
         Exchange exchange = line.exchange;
@@ -214,6 +219,7 @@
 
     /** Takes back a line whose call is over, for the next call where it is still open. */
     public void free(Line line, long now) {
+        busy.remove(line);
         if (line.usable() && !line.dropped && !line.last && !line.peer.gone && limits.idleClose() > 0) {
             line.idleSince = now;
             line.exchange = null;
@@ -223,6 +229,15 @@
         }
     }
 
+    /**
+     * No call to a peer leaves that has not begun to. Guards against calls that were decided on before a wait was
+     * told and whose connection is up only after it; a call that leaves in this very moment still goes.
+     */
+    public void withhold(Peer peer) {
+        busy.stream().filter(line -> line.peer == peer && line.exchange != null)
+                .forEach(line -> line.exchange.withheld = true);
+    }
+
     /** A peer has left its address: none of its connections is used again. */
     public void left(Peer peer) {
         peer.gone = true;
@@ -265,6 +280,7 @@
     }
 
     private void drop(Line line) {
+        busy.remove(line);
         line.dropped = true;
         open -= line.counted ? 1 : 0;
         line.counted = false;
@@ -287,6 +303,7 @@
         private int status; // of the first line, before the rest of the head is there
         private ByteBuffer answer;
         private volatile boolean produced;
+        private volatile boolean withheld;
         private boolean ended;
         private volatile boolean freed;
         private boolean handed;
@@ -358,7 +375,7 @@
         @Override
         public void produceRequest(RequestChannel channel, HttpContext context)
                 throws HttpException, IOException {
-            if (clock.getAsLong() >= call.startBy()) {
+            if (withheld || clock.getAsLong() >= call.startBy()) {
                 end(Call.Result.none(Ending.NOT_SENT)); // its connection, or this thread, came too late
                 throw new IOException("call is too late to start");
             }
--- a/src/main/java/terndyke/node/http/Visits.java
+++ b/src/main/java/terndyke/node/http/Visits.java
@@ -100,7 +100,7 @@
             reading = false;
             asked = true;
             unanswered++;
-            session.setSocketTimeout(Timeout.ofMicroseconds(limits.unanswered()));
+            session.setSocketTimeout(Timeout.DISABLED); // every whole request is answered, however late the node is
         }
 
         /** More requests wait on this connection than a client has reason for. */
@@ -108,10 +108,11 @@
             return unanswered > limits.requestsWaiting();
         }
 
-        /** A request has its answer. */
+        /** A request has its answer. Usual clients send the next one only then, so nothing is half read. */
         void answered() {
             unanswered = Math.max(0, unanswered - 1);
-            if (unanswered == 0 && !reading && !gone) {
+            if (unanswered == 0 && !gone) {
+                reading = false;
                 rest();
             }
         }
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -271,6 +271,8 @@
             timers.at(now + wake.delay(), () -> route.tell(new Event.Woken(wake.token())));
         } else if (action instanceof Action.Probe probe) {
             send.probe(probe.endpoint(), now);
+        } else if (action instanceof Action.Withhold withhold) {
+            send.withhold(withhold.endpoint());
         } else if (action instanceof Action.DropConnections drop) {
             send.dropConnections(drop.endpoint());
         } else if (action instanceof Action.Log line) {
--- a/src/main/java/terndyke/node/stage/Send.java
+++ b/src/main/java/terndyke/node/stage/Send.java
@@ -237,6 +237,14 @@
         }
     }
 
+    /** Holds back the calls to an endpoint that still wait for their connection. */
+    void withhold(long endpoint) {
+        Catalogue.Member member = catalogue.member(endpoint);
+        if (member != null) {
+            calls.withhold(member.peer());
+        }
+    }
+
     /** Closes the idle connections to an endpoint. */
     void dropConnections(long endpoint) {
         Catalogue.Member member = catalogue.member(endpoint);
--- a/src/test/java/terndyke/decision/DispatcherTest.java
+++ b/src/test/java/terndyke/decision/DispatcherTest.java
@@ -111,7 +111,9 @@
     void nothingIsShotBeforeAToldWaitIsOver() {
         Dispatcher dispatcher = dispatcher(terms(true, true, 100), 0);
         dispatcher.turn(START, List.of(taken(1, Given.IDEMPOTENT)));
-        dispatcher.turn(START + 200_000, List.of(ended(1, 0, 11, Ending.FULL, 700_000), taken(2, Given.IDEMPOTENT)));
+        List<Action> told = dispatcher.turn(START + 200_000,
+                List.of(ended(1, 0, 11, Ending.FULL, 700_000), taken(2, Given.IDEMPOTENT)));
+        assertTrue(told.contains(new Action.Withhold(11)), "what is on its way to leaving stays");
         assertEquals(0, only(Shoot.class, wakeUntil(dispatcher, START + 210_000, START + 899_000)).size());
         assertFalse(only(Shoot.class, wakeUntil(dispatcher, START + 900_000, START + 1_300_000)).isEmpty());
     }
--- a/src/test/java/terndyke/node/http/CallsTest.java
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -321,6 +321,27 @@
         }
     }
 
+    @Test
+    void aCallThatIsWithheldBeforeItsConnectionIsUpNeverLeaves() throws Exception {
+        endpoint.close();
+        endpoint = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        Calls.Peer full = new Calls.Peer(address());
+        List<Socket> others = new java.util.ArrayList<>();
+        for (int i = 0; i < 2; i++) { // the queue of the socket is full, so the next one is not up yet
+            others.add(new Socket(endpoint.getInetAddress(), endpoint.getLocalPort()));
+        }
+        calls = new Calls(reactor, Limits.shareOut(192, 1024, 3, 8, 40, 5_000_000, 1_000_000), counters, () -> 0, free::add);
+        calls.start(full, new Call("POST", "/events", new String[] {"Host", "x"}, BODY), 0, results::add);
+        calls.withhold(full);
+        for (int i = 0; i < 3; i++) {
+            endpoint.accept().close();
+        }
+        assertEquals(Ending.NOT_SENT, result().ending());
+        for (Socket other : others) {
+            other.close();
+        }
+    }
+
     @Test
     void aConnectionToAPeerThatHasLeftIsNotUsedAgainHoweverLateItIsFree() throws Exception {
         Calls.Line line = call(BODY, 0);
--- a/src/test/java/terndyke/node/http/VisitsTest.java
+++ b/src/test/java/terndyke/node/http/VisitsTest.java
@@ -107,6 +107,20 @@
         assertTrue(closed.contains(usual));
     }
 
+    @Test
+    void anAnswerThatComesLateIsStillWaitedForAndNothingOfThePastCutsTheNextRequestShort() {
+        IOSession usual = session();
+        Visits.Visit visit = visits.come(usual);
+        visit.input();
+        visit.whole();
+        assertEquals(Timeout.DISABLED.toMicroseconds(), timeouts.get(usual), "a late answer is better than none");
+        visit.input(); // the selector spoke, but nothing came
+        now += 2_500_000;
+        visit.answered();
+        visit.input();
+        assertTrue(closed.isEmpty());
+    }
+
     @Test
     void pastAllRoomAClientIsTurnedOutAndPlacesComeBack() {
         fill();
