What was decided before a told wait does not leave; the node rehearses and leaves no one unanswered

Now each destination's last told wait holds back calls decided before it, a call leaves only after one pass over all connections, and a line rests 10 ms. Before it is ready a node goes the ways of a record for at most twice 0.3 s, so that they are compiled. Desk ended with words still in its queue; it now refuses them. The hook for SIGTERM is set before the start.

--- a/src/main/java/terndyke/Main.java
+++ b/src/main/java/terndyke/Main.java
@@ -81,11 +81,17 @@
             ThreadPoolExecutor rereads = new ThreadPoolExecutor(0, 1, 1, TimeUnit.SECONDS, new ArrayBlockingQueue<>(1),
                     work -> new Thread(work, "terndyke-reread"), new ThreadPoolExecutor.DiscardPolicy());
             whenHungUp(() -> rereads.execute(() -> node.reread(place)));
-            node.start();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            Thread close = new Thread(() -> {
                 node.close();
                 Runtime.getRuntime().halt(0);
-            }, "terndyke-close"));
+            }, "terndyke-close");
+            Runtime.getRuntime().addShutdownHook(close);
+            try {
+                node.start();
+            } catch (IOException e) {
+                Runtime.getRuntime().removeShutdownHook(close); // a node that never served has its own status
+                throw e;
+            }
         } catch (IOException e) {
             System.err.println("terndyke: " + String.valueOf(e.getMessage()).replace('\n', ' '));
             System.exit(BAD_INPUT);
--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -23,7 +23,7 @@
     private final Counters counters = new Counters();
     private Reactor reactor;
     private Journal journal;
-    private Door door;
+    private volatile Door door; // the last part to come at the start
     private Desk desk;
     private Thread thread;
     private volatile boolean ready;
@@ -52,6 +52,7 @@
             log.warn("known list passed over: " + e.getMessage());
         }
         unread.forEach(text -> log.warn("known list: " + text));
+        Rehearsal.decide(charter, limits.rehearse());
         Book book = new Book(journal, limits, counters, log);
         Collection<Owed> owed = book.restore(entries);
         reactor = new Reactor(limits, counters, log);
@@ -63,6 +64,7 @@
         door = new Door(limits, counters, charter.grades(), charter.tenants(), clock::now, () -> ready,
                 desk::handOver, handover -> desk.post(new Word.Left(handover)));
         reactor.listen(charter.listen(), door);
+        Rehearsal.talk(charter, reactor, clock, charter.listen(), limits.rehearse());
         ready = true;
         log.info("serving on " + charter.listen() + ", " + known.entries().size() + " endpoints known, "
                 + counters.of(Counters.Count.RESTORED) + " records owed from the last life");
@@ -93,7 +95,7 @@
     /** Takes nothing new, finishes what can still be finished in time, and leaves the rest in the journal. */
     @Override
     public void close() {
-        if (desk == null) {
+        if (door == null) {
             return;
         }
         ready = false;
--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -9,13 +9,13 @@
         int clientConnections, int spareConnections, int backlog, int endpointConnections, int probes,
         int inbox, int wordsATurn, int records, long heldBytes, int remembered, int noticesTogether,
         long journalBytes, long journalReserve,
-        long connectTimeout, long idleClose, long restOfAnswer,
+        long connectTimeout, long idleClose, long lineRest, long restOfAnswer,
         long halfRequest, long firstRequest, long clientIdle, long idleAtLeast, long silentFor, long silentAtLeast,
         int requestsWaiting, int passedOver, long answerWithin,
         long watchWait, long watchSlack, long resend, long unanswered, long probeTimeout, long unbooked,
         long longestRecord, long longestSleep, long selectEvery, long sweepEvery, long rememberFor,
         long rememberGone, int goneAtMost,
-        long startWithin, long leaveWithin, long leaveLast, long closeWithin) {
+        long startWithin, long rehearse, long leaveWithin, long leaveLast, long lastWords, long closeWithin) {
 
     /** Shares out a machine's memory, descriptors and disk, with the terms' bounds on calls and records. */
     public static Limits shareOut(int memoryMb, int sockets, double diskMb, int slots, int holdingRoom,
@@ -29,10 +29,10 @@
                 clients * 7 / 8, clients / 8, 256, calls, Math.max(4, calls / 8),
                 1024, 256, holdingRoom, memoryMb * 1_000_000L / 8, remembered, 64,
                 disk, disk / 8,
-                connectTimeout, idleClose <= 0 ? 0 : idleClose * 4 / 5, 1_000_000,
+                connectTimeout, idleClose <= 0 ? 0 : idleClose * 4 / 5, 10_000, 1_000_000,
                 2_000_000, 2_600_000, 3_000_000, 2_000_000, 2_100_000, 50_000, 8, 8 << 20, 350_000,
                 4_000_000, 1_500_000, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
-                60_000_000, 1024, 10_000_000, 2_600_000, 1_000_000, 200_000);
+                60_000_000, 1024, 10_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000);
     }
 }
--- /dev/null
+++ b/src/main/java/terndyke/node/Rehearsal.java
@@ -0,0 +1,80 @@
+package terndyke.node;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import terndyke.api.Action;
+import terndyke.api.Ending;
+import terndyke.api.Event;
+import terndyke.api.ListedEndpoint;
+import terndyke.decision.Dispatcher;
+import terndyke.node.http.Call;
+import terndyke.node.http.Calls;
+import terndyke.node.http.Reactor;
+
+/**
+ * Goes the ways that every record goes before clients come, for a bounded time, so that the compiler has seen them.
+ * Guards against a cold node on part of a core that answers late, is asked again for it, and so never warms; it makes
+ * the start longer by its bounds at most. Nothing of it is kept.
+ */
+final class Rehearsal {
+    private static final int ROUNDS = 400;
+    private static final float[] NO_REPORT = new float[0];
+
+    private Rehearsal() { }
+
+    /** A dispatcher of its own takes and delivers records that nobody handed in. */
+    static void decide(Charter charter, long within) {
+        long until = System.nanoTime() + within * 1000;
+        Dispatcher dispatcher = new Dispatcher(charter.terms());
+        List<Event> events = new ArrayList<>();
+        List<ListedEndpoint> list = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            list.add(new ListedEndpoint(i, 0, 0, 1, ListedEndpoint.Standing.READY, 0, i / 2));
+        }
+        events.add(new Event.ListTold(list, true));
+        for (int i = 1; i <= ROUNDS && System.nanoTime() < until; i++) {
+            events.add(new Event.RecordTaken(i, i % charter.terms().grades().size(), 0, i % 20, 3_000_000, 0, i % 3, false,
+                    false, false));
+            events.add(new Event.Woken(0));
+            List<Action> actions = dispatcher.turn(i * 10_000L, events);
+            events = new ArrayList<>();
+            for (Action action : actions) {
+                if (action instanceof Action.Shoot shoot) {
+                    Ending ending = i % 5 == 0 ? Ending.FULL : Ending.DONE;
+                    events.add(new Event.ShotEnded(shoot.id(), 0, shoot.endpoint(), ending, 9_000, 0, false,
+                            ending == Ending.DONE, NO_REPORT));
+                }
+            }
+        }
+    }
+
+    /** The node asks itself for its health, which it answers as it does anybody. */
+    static void talk(Charter charter, Reactor reactor, NodeClock clock, InetSocketAddress self, long within) {
+        BlockingQueue<Call.Result> results = new LinkedBlockingQueue<>();
+        BlockingQueue<Calls.Line> free = new LinkedBlockingQueue<>();
+        Calls calls = new Calls(reactor, charter.limits(), new Counters(), clock::now, free::add);
+        Calls.Peer peer = new Calls.Peer(self);
+        Call call = new Call("GET", "/_health", new String[] {"Host", peer.host()}, new byte[0]);
+        long until = System.nanoTime() + within * 1000;
+        try {
+            for (int i = 0; i < ROUNDS && System.nanoTime() < until; i++) {
+                Calls.Line line = calls.start(peer, call, clock.now(), results::add);
+                if (line == null || results.poll(within, TimeUnit.MICROSECONDS) == null) {
+                    break;
+                }
+                line = free.poll(within, TimeUnit.MICROSECONDS);
+                if (line != null) {
+                    calls.free(line, clock.now());
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        calls.left(peer);
+    }
+}
--- a/src/main/java/terndyke/node/discovery/Catalogue.java
+++ b/src/main/java/terndyke/node/discovery/Catalogue.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 
 import terndyke.api.Event;
 import terndyke.api.ListedEndpoint;
@@ -23,7 +24,7 @@
     private final List<String> kinds;
     private final Map<String, Member> byName = new HashMap<>();
     private final Map<Long, Member> byNumber = new HashMap<>();
-    private final Set<Integer> destinations = new HashSet<>();
+    private final Map<Integer, AtomicLong> destinations = new HashMap<>(); // and when one last told a wait
     private final Set<Member> gone = new LinkedHashSet<>(); // longest first
     private final List<Calls.Peer> left = new ArrayList<>();
     private long version;
@@ -73,7 +74,7 @@
     }
 
     public boolean knows(int destination) {
-        return destinations.contains(destination);
+        return destinations.containsKey(destination);
     }
 
     public Member member(long number) {
@@ -180,14 +181,14 @@
         if (was != null && moved) {
             left.add(was);
         }
-        member.peer = moved ? new Calls.Peer(address) : was;
+        AtomicLong toldAt = destinations.computeIfAbsent(destination, number -> new AtomicLong());
+        member.peer = moved ? new Calls.Peer(address, toldAt) : was;
         gone.remove(member);
         if (standing == Standing.GONE) {
             leave(member, now);
         }
         byName.put(uid, member);
         byNumber.put(member.number, member);
-        destinations.add(destination);
         return member.listed;
     }
 }
--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
@@ -70,10 +71,17 @@
      */
     public static final class Peer {
         private final InetSocketAddress address;
+        private final AtomicLong toldAt; // when a wait was last told by a peer of the same destination
         private boolean gone;
 
         public Peer(InetSocketAddress address) {
+            this(address, new AtomicLong());
+        }
+
+        /** One of several that tell their waits for all. */
+        public Peer(InetSocketAddress address, AtomicLong toldAt) {
             this.address = address;
+            this.toldAt = toldAt;
         }
 
         public InetSocketAddress address() {
@@ -132,6 +140,16 @@
             return inInput;
         }
 
+        /** All that has come by now is read before a call leaves: a wait may be in it, or noise on this very line. */
+        boolean mayLeave() {
+            Exchange on = exchange;
+            boolean may = on == null || on.produced || on.passed;
+            if (on != null) {
+                on.passed = true;
+            }
+            return may;
+        }
+
         /** What has come has been read. */
         void read() {
             inInput = false;
@@ -168,9 +186,9 @@
     /** Starts a call; the sink hears of it once. Returns what cancel() takes, or null where no socket is left. */
     public Line start(Peer peer, Call call, long now, Call.Sink sink) {
         Deque<Line> free = idle.getOrDefault(peer, new ArrayDeque<>(0));
-        for (Line line = free.pollLast(); line != null; line = free.pollLast()) {
+        for (Line line = rested(free, now); line != null; line = rested(free, now)) {
             if (line.usable() && now - line.idleSince < limits.idleClose()) {
-                line.exchange = new Exchange(line, call, sink);
+                line.exchange = new Exchange(line, call, now, sink);
                 line.session.enqueue(line.exchange.command(), Command.Priority.NORMAL);
                 busy.add(line);
                 return line;
@@ -181,7 +199,7 @@
             return null;
         }
         Line line = new Line(peer);
-        line.exchange = new Exchange(line, call, sink);
+        line.exchange = new Exchange(line, call, now, sink);
         busy.add(line);
         open++;
         counters.add(Count.CONNECTIONS_OPENED);
@@ -207,6 +225,18 @@
         return line;
     }
 
+    /** Takes the line used last of those that have rested for a moment, in which anything behind its answer came. */
+    private Line rested(Deque<Line> free, long now) {
+        for (Iterator<Line> last = free.descendingIterator(); last.hasNext();) {
+            Line line = last.next();
+            if (now - line.idleSince >= limits.lineRest()) {
+                last.remove();
+                return line;
+            }
+        }
+        return free.pollLast();
+    }
+
     /**
      * Gives up the call on a line by closing the connection; its sink hears nothing more that counts. True where the
      * connection never came up, so that the call never ran. Once it is up that can't be told from this thread: the
@@ -304,6 +334,8 @@
         private ByteBuffer answer;
         private volatile boolean produced;
         private volatile boolean withheld;
+        private final long decidedAt;
+        private boolean passed; // one pass over all connections since the call was put on its line
         private boolean ended;
         private volatile boolean freed;
         private boolean handed;
@@ -311,7 +343,8 @@
         private int informed;
         private long due; // when the answer has to be whole
 
-        Exchange(Line line, Call call, Call.Sink sink) {
+        Exchange(Line line, Call call, long decidedAt, Call.Sink sink) {
+            this.decidedAt = decidedAt;
             this.line = line;
             this.call = call;
             this.sink = sink;
@@ -375,7 +408,7 @@
         @Override
         public void produceRequest(RequestChannel channel, HttpContext context)
                 throws HttpException, IOException {
-            if (withheld || clock.getAsLong() >= call.startBy()) {
+            if (withheld || line.peer.toldAt.get() > decidedAt || clock.getAsLong() >= call.startBy()) {
                 end(Call.Result.none(Ending.NOT_SENT)); // its connection, or this thread, came too late
                 throw new IOException("call is too late to start");
             }
@@ -418,6 +451,9 @@
         public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
                 throws IOException {
             head = response;
+            if (response.containsHeader("Retry-After")) {
+                line.peer.toldAt.set(clock.getAsLong()); // what was decided without knowing of it does not leave
+            }
             Header connection = response.getFirstHeader("Connection");
             line.last = connection != null && connection.getValue().equalsIgnoreCase("close");
             if (done()) {
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -104,6 +104,13 @@
             this.line = line;
         }
 
+        @Override
+        public void outputReady(IOSession session) throws IOException {
+            if (line.mayLeave()) {
+                super.outputReady(session);
+            }
+        }
+
         @Override
         public void inputReady(IOSession session, ByteBuffer source) throws IOException {
             if (line.expects()) {
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -121,6 +121,21 @@
                 refuseFresh();
             }
         }
+        refuseLast();
+    }
+
+    /** Whoever was read in the last moments is refused too, before the connections close: nobody is left unanswered. */
+    private void refuseLast() {
+        try {
+            for (Word word = inbox.poll(); word != null; word = inbox.poll(limits.lastWords(), TimeUnit.MICROSECONDS)) {
+                if (word instanceof Word.Handed handed) {
+                    counters.add(Count.REFUSED_AT_DOOR);
+                    handed.handover().answer().refused(0);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private void turn() throws InterruptedException {
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -40,6 +40,13 @@
 import com.sun.net.httpserver.HttpServer;
 
 import terndyke.node.Counters.Count;
+import terndyke.node.discovery.Catalogue;
+import terndyke.node.http.Handover;
+import terndyke.node.http.Reactor;
+import terndyke.node.journal.Journal;
+import terndyke.node.stage.Book;
+import terndyke.node.stage.Desk;
+import terndyke.node.stage.Word;
 
 /** A whole node on loopback, between stand-ins for an endpoint, discovery and the platform. */
 class DeliveryNodeTest {
@@ -399,6 +406,35 @@
         assertEquals("r-1", next(arrived).id());
     }
 
+    @Test
+    void whoIsReadInTheLastMomentsOfALeavingNodeIsAnsweredToo() throws Exception {
+        Charter charter = Charter.read(charter(3, 1024).getBytes(StandardCharsets.UTF_8),
+                new Charter.Place("file", null, null, null, folder.toString()));
+        NodeLog log = new NodeLog(new PrintStream(PrintStream.nullOutputStream()), "test");
+        Counters counters = new Counters();
+        Reactor reactor = new Reactor(charter.limits(), counters, log);
+        Book book = new Book(Journal.open(folder, charter.limits().journalBytes(), log, new ArrayList<>()), charter.limits(),
+                counters, log);
+        Desk desk = new Desk(charter, reactor, new Catalogue(List.of(), List.of()), book, new NodeClock(), counters, log);
+        reactor.start();
+        AtomicInteger accepted = new AtomicInteger();
+        AtomicInteger answered = new AtomicInteger();
+        Handover.Answer answer = (Handover.Answer) java.lang.reflect.Proxy.newProxyInstance(getClass().getClassLoader(),
+                new Class<?>[] {Handover.Answer.class}, (self, method, given) -> answered.incrementAndGet() > 0 ? null : null);
+        Handover handover = new Handover("r-1", 0, 0, 0, 99, null, 1000, false, false, new byte[0], 0, answer);
+        desk.post(new Word.Leave());
+        Thread thread = new Thread(desk);
+        thread.start();
+        while (thread.isAlive()) { // as fast as it goes, so that some always wait
+            if (desk.handOver(handover)) {
+                accepted.incrementAndGet();
+            }
+        }
+        assertTrue(accepted.get() > 0);
+        assertEquals(accepted.get(), answered.get());
+        reactor.close();
+    }
+
     @Test
     void aKilledNodeStillOwesWhatItTookOnUnderEachEffect() throws Exception {
         verdict = call -> SILENT;
@@ -427,7 +463,7 @@
             assertEquals(0, arrived.size());
             second.destroy();
             assertTrue(second.waitFor(4, TimeUnit.SECONDS));
-            assertEquals(0, second.exitValue());
+            assertEquals(0, second.exitValue(), Files.readString(folder.resolve("log")));
         } finally {
             second.destroyForcibly();
         }
--- a/src/test/java/terndyke/node/http/CallsTest.java
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -342,6 +343,27 @@
         }
     }
 
+    @Test
+    void aCallDecidedOnBeforeAWaitWasToldDoesNotLeaveAfterIt() throws Exception {
+        AtomicLong clock = new AtomicLong(1_000);
+        calls = new Calls(reactor, limits, counters, clock::get, free::add);
+        call(BODY, 1_000);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, "HTTP/1.1 429 Slow\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(429, result().status());
+            calls.free(free.poll(5, TimeUnit.SECONDS), 1_000);
+            call(BODY, 900);
+            assertEquals(Ending.NOT_SENT, result().ending());
+            call(BODY, 1_001);
+            try (Socket second = endpoint.accept()) {
+                request(second);
+                answer(second, ANSWER);
+                assertEquals(200, result().status());
+            }
+        }
+    }
+
     @Test
     void aConnectionToAPeerThatHasLeftIsNotUsedAgainHoweverLateItIsFree() throws Exception {
         Calls.Line line = call(BODY, 0);
