--- a/src/main/java/terndyke/Main.java
+++ b/src/main/java/terndyke/Main.java
@@ -5,6 +5,14 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.net.URISyntaxException;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -46,13 +54,23 @@
     @Parameters(commandDescription = "print the version")
     private static final class Version { }
 
+    @Parameters(commandDescription = "the laboratory: lab help shows its commands")
+    private static final class Lab {
+        @Parameter(description = "command and its options")
+        private List<String> rest = new ArrayList<>();
+    }
+
     @Parameters(commandDescription = "show this text")
     private static final class Help { }
 
     public static void main(String[] arguments) {
+        if (arguments.length > 0 && arguments[0].equals("lab")) {
+            System.exit(lab(Arrays.copyOfRange(arguments, 1, arguments.length)));
+        }
         Serve serve = new Serve();
         JCommander commands = JCommander.newBuilder().programName("terndyke").addCommand("serve", serve)
-                .addCommand("adapter", new Adapter()).addCommand("version", new Version())
+                .addCommand("adapter", new Adapter())
+                .addCommand("lab", new Lab()).addCommand("version", new Version())
                 .addCommand("help", new Help()).build();
         try {
             commands.parse(arguments);
@@ -115,6 +133,32 @@
         }
     }
 
+    /**
+     * The laboratory lies in a jar of its own beside this one, so that no node ever loads or opens anything of it; on a
+     * class path of folders it is just there.
+     */
+    private static int lab(String[] arguments) {
+        try {
+            Path own = Path.of(Main.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            ClassLoader loader = Main.class.getClassLoader();
+            if (Files.isRegularFile(own)) {
+                Path jar = own.resolveSibling("terndyke-lab.jar");
+                if (!Files.isRegularFile(jar)) {
+                    System.err.println("terndyke: the laboratory is not installed: " + jar + " is missing");
+                    return BAD_INPUT;
+                }
+                System.setProperty("terndyke.jar", own.toString());
+                loader = new URLClassLoader(new URL[] {jar.toUri().toURL()}, loader);
+                Thread.currentThread().setContextClassLoader(loader);
+            }
+            return (int) Class.forName("terndyke.lab.Lab", true, loader).getMethod("run", String[].class)
+                    .invoke(null, (Object) arguments);
+        } catch (ReflectiveOperationException | URISyntaxException | IOException e) {
+            System.err.println("terndyke: the laboratory does not start: " + e);
+            return 1;
+        }
+    }
+
     private static int adapter() {
         try {
             return new BenchAdapter().serve(new FileInputStream(FileDescriptor.in),
--- /dev/null
+++ b/src/main/java/terndyke/lab/load/Pacer.java
@@ -0,0 +1,44 @@
+package terndyke.lab.load;
+
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.IntConsumer;
+import java.util.function.IntToLongFunction;
+
+import org.HdrHistogram.Histogram;
+
+/** Starts each item of a schedule when it is due, never waiting for anything else, and measures how late it was. */
+public final class Pacer {
+    private static final long SPIN = 60_000; // the last nanoseconds before a due time are not slept
+
+    private final Histogram lateness = new Histogram(1, 3_600_000_000L, 3);
+    private volatile boolean stopped;
+
+    /** Runs items 0 to count - 1; due gives each one's time in nanoseconds of System.nanoTime. Returns how many ran. */
+    public int run(int count, IntToLongFunction due, IntConsumer start) {
+        for (int i = 0; i < count; i++) {
+            long at = due.applyAsLong(i);
+            for (long left = at - System.nanoTime(); left > 0 && !stopped; left = at - System.nanoTime()) {
+                if (left > SPIN) {
+                    LockSupport.parkNanos(Math.min(left - SPIN, 100_000_000));
+                } else {
+                    Thread.onSpinWait();
+                }
+            }
+            if (stopped) {
+                return i;
+            }
+            lateness.recordValue(Math.min(3_600_000_000L, Math.max(0, (System.nanoTime() - at) / 1000)));
+            start.accept(i);
+        }
+        return count;
+    }
+
+    public void stop() {
+        stopped = true;
+    }
+
+    /** How late items were started, in microseconds. Read it once run has returned. */
+    public Histogram lateness() {
+        return lateness;
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/lab/load/Trace.java
@@ -0,0 +1,89 @@
+package terndyke.lab.load;
+
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.OutputStreamWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.github.luben.zstd.ZstdInputStream;
+import com.github.luben.zstd.ZstdOutputStream;
+
+import terndyke.lab.plan.BadInput;
+import terndyke.lab.plan.Experiment;
+
+/** A recorded schedule: JSON lines, one arrival a line, compressed by zstd where the name ends in .zst. */
+public final class Trace {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String PACKED = ".zst";
+
+    private Trace() { }
+
+    public static void write(Path file, List<Arrival> arrivals) throws IOException {
+        OutputStream out = Files.newOutputStream(file);
+        try (BufferedWriter lines = new BufferedWriter(new OutputStreamWriter(
+                file.toString().endsWith(PACKED) ? new ZstdOutputStream(out) : out, StandardCharsets.UTF_8))) {
+            for (Arrival arrival : arrivals) {
+                lines.write(JSON.writeValueAsString(arrival));
+                lines.newLine();
+            }
+        }
+    }
+
+    /** Reads a trace for a day; every line that does not fit it is told. */
+    public static List<Arrival> read(Path file, Experiment day) throws BadInput {
+        List<Arrival> arrivals = new ArrayList<>();
+        List<String> faults = new ArrayList<>();
+        try (InputStream in = Files.newInputStream(file);
+                BufferedReader lines = new BufferedReader(new InputStreamReader(
+                        file.toString().endsWith(PACKED) ? new ZstdInputStream(in) : in, StandardCharsets.UTF_8))) {
+            long last = Long.MIN_VALUE;
+            int number = 0;
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                number++;
+                try {
+                    Arrival arrival = JSON.readValue(line, Arrival.class);
+                    String fault = fault(arrival, day, last);
+                    if (fault != null) {
+                        faults.add(file + ":" + number + ": " + fault);
+                    }
+                    last = arrival.due();
+                    arrivals.add(arrival);
+                } catch (JsonProcessingException e) {
+                    faults.add(file + ":" + number + ": " + e.getOriginalMessage().lines().findFirst().orElse(""));
+                }
+            }
+        } catch (IOException e) {
+            throw new BadInput(file + ": cannot be read: " + e.getMessage());
+        }
+        if (!faults.isEmpty()) {
+            throw new BadInput(faults);
+        }
+        return arrivals;
+    }
+
+    private static String fault(Arrival arrival, Experiment day, long last) {
+        if (arrival.due() < Math.max(0, last)) {
+            return "due: " + arrival.due() + " comes before the line above it";
+        }
+        if (day.grades().stream().noneMatch(grade -> grade.name().equals(arrival.grade()))) {
+            return "grade: " + arrival.grade() + " is not in the experiment";
+        }
+        if (day.tenants().stream().noneMatch(tenant -> tenant.name().equals(arrival.tenant()))) {
+            return "tenant: " + arrival.tenant() + " is not in the experiment";
+        }
+        if (arrival.destination() < 0 || arrival.destination() >= day.destinationCount()) {
+            return "destination: " + arrival.destination() + " is not in the experiment";
+        }
+        return arrival.bytes() < 0 || arrival.bytes() > 65_536 ? "bytes: " + arrival.bytes() + ", allowed: 0 to 65536" : null;
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/lab/model/ServiceTime.java
@@ -0,0 +1,40 @@
+package terndyke.lab.model;
+
+import java.util.List;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.statistics.distribution.ContinuousDistribution;
+import org.apache.commons.statistics.distribution.ExponentialDistribution;
+import org.apache.commons.statistics.distribution.LogNormalDistribution;
+
+import terndyke.lab.plan.Experiment.Service;
+import terndyke.lab.plan.Span;
+
+/** Draws how long a call's work takes, in whole microseconds. */
+public interface ServiceTime {
+    long draw();
+
+    /** The distribution that an experiment names; spread is the share that varies (shifted), or sigma (lognormal). */
+    static ServiceTime of(Service told, UniformRandomProvider chance) {
+        double mean = told.mean().micros();
+        return switch (told.shape()) {
+            case FIXED -> () -> (long) mean;
+            case EXPONENTIAL -> sampled(ExponentialDistribution.of(Math.max(1, mean)), 0, chance);
+            case SHIFTED -> {
+                double varies = Math.min(1, told.spread());
+                yield sampled(ExponentialDistribution.of(Math.max(1, mean * varies)), mean * (1 - varies), chance);
+            }
+            case LOGNORMAL -> sampled(LogNormalDistribution.of(Math.log(Math.max(1, mean))
+                    - told.spread() * told.spread() / 2, told.spread()), 0, chance);
+            case SAMPLE -> {
+                List<Span> sample = told.sample();
+                yield () -> sample.get(chance.nextInt(sample.size())).micros();
+            }
+        };
+    }
+
+    private static ServiceTime sampled(ContinuousDistribution distribution, double shift, UniformRandomProvider chance) {
+        ContinuousDistribution.Sampler sampler = distribution.createSampler(chance);
+        return () -> Math.round(shift + sampler.sample());
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/lab/plan/Drawer.java
@@ -0,0 +1,54 @@
+package terndyke.lab.plan;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+import terndyke.lab.plan.Failure.Kind;
+import terndyke.lab.plan.Failure.Side;
+import terndyke.lab.plan.Failure.Target;
+
+/** Draws random days: one to five failures of any kind, alone or together, on a given base. The seed decides all. */
+public final class Drawer {
+    private static final int MOST = 5;
+
+    private Drawer() { }
+
+    public static Experiment draw(Experiment base, long seed) {
+        UniformRandomProvider chance = RandomSource.XO_RO_SHI_RO_128_PP.create(seed * 7919 + 11);
+        int count = 1 + chance.nextInt(MOST);
+        List<Failure> failures = new ArrayList<>();
+        long together = at(base, chance); // half of a day's failures meet here
+        for (int i = 0; i < count; i++) {
+            Kind kind = Kind.values()[chance.nextInt(Kind.values().length)];
+            long at = chance.nextBoolean() ? together : at(base, chance);
+            Span lasts = Span.ofMillis(500 + chance.nextInt((int) Math.max(1, base.length().millis() / 3)));
+            failures.add(new Failure(kind, new Span(at / 1000 * 1000), lasts, null, target(base, kind, chance)));
+        }
+        failures.sort(Comparator.comparing(Failure::at));
+        return new Experiment(base.name() + "-drawn-" + seed, "drawn from seed " + seed, seed, base.length(), base.settle(),
+                base.late(), base.nodes(), base.grades(), base.tenants(), base.halls(), base.destinations(), base.load(),
+                base.clients(), base.list(), failures);
+    }
+
+    private static long at(Experiment base, UniformRandomProvider chance) {
+        return Math.round(base.length().micros() * (0.1 + 0.6 * chance.nextDouble()));
+    }
+
+    private static Target target(Experiment base, Kind kind, UniformRandomProvider chance) {
+        if (kind.side() != Side.RECEIVER) {
+            return new Target(null, null, null, null, kind.side() == Side.NODE || chance.nextBoolean()
+                    ? List.of(chance.nextInt(base.nodes().count())) : null, null);
+        }
+        return switch (chance.nextInt(4)) {
+            case 0 -> new Target(base.halls().get(chance.nextInt(base.halls().size())), null, null, null, null, null);
+            case 1 -> new Target(null, base.destinations().get(chance.nextInt(base.destinations().size())).kind(), null, null,
+                    null, null);
+            case 2 -> new Target(null, null, List.of(chance.nextInt(base.destinationCount())), null, null, null);
+            default -> new Target(null, null, null, null, null, 0.1 + Math.round(chance.nextDouble() * 8) / 10.0);
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/lab/plan/ExperimentFile.java
@@ -0,0 +1,251 @@
+package terndyke.lab.plan;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
+import com.networknt.schema.Error;
+import com.networknt.schema.Schema;
+import com.networknt.schema.SchemaRegistry;
+import com.networknt.schema.SpecificationVersion;
+
+/** Reads and writes experiments as YAML. A file is used only without a fault, and all faults are told at once. */
+public final class ExperimentFile {
+    private static final String SCHEMA = "/terndyke/lab/experiment.schema.json";
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper YAML = new ObjectMapper(
+            new YAMLFactory().disable(YAMLGenerator.Feature.WRITE_DOC_START_MARKER)
+                    .enable(YAMLGenerator.Feature.MINIMIZE_QUOTES));
+
+    private ExperimentFile() { }
+
+    public static Experiment read(Path file) throws BadInput {
+        return read(file, Map.of());
+    }
+
+    /** Reads a file with some fields set otherwise, by paths such as nodes.slots or failures.0.at. */
+    public static Experiment read(Path file, Map<String, String> set) throws BadInput {
+        try {
+            return read(file.toString(), Files.readString(file), set);
+        } catch (IOException e) {
+            throw new BadInput(file + ": cannot be read: " + e.getMessage());
+        }
+    }
+
+    /** Reads a text; the name stands in front of each fault. */
+    public static Experiment read(String name, String text) throws BadInput {
+        return read(name, text, Map.of());
+    }
+
+    private static Experiment read(String name, String text, Map<String, String> set) throws BadInput {
+        Map<String, JsonLocation> places = new HashMap<>();
+        JsonNode tree;
+        try (JsonParser parser = YAML.getFactory().createParser(text)) {
+            if (parser.nextToken() == null) {
+                throw new BadInput(name + ": the file is empty");
+            }
+            tree = tree(parser, "", places);
+        } catch (JsonProcessingException e) {
+            throw new BadInput(name + ":" + (e.getLocation() == null ? 0 : e.getLocation().getLineNr()) + ": no YAML: "
+                    + e.getOriginalMessage().lines().findFirst().orElse(""));
+        } catch (IOException e) {
+            throw new BadInput(name + ": " + e.getMessage());
+        }
+        for (Map.Entry<String, String> one : set.entrySet()) {
+            put(tree, one.getKey(), one.getValue());
+        }
+        Map<Integer, List<String>> faults = new TreeMap<>();
+        for (Error error : schema().validate(tree)) {
+            String at = error.getInstanceLocation().toString();
+            String field = error.getProperty() != null ? at + "/" + error.getProperty() : at;
+            add(faults, name, places, field, words(error, tree.at(at)));
+        }
+        Experiment day = null;
+        if (faults.isEmpty()) {
+            try {
+                day = JSON.treeToValue(tree, Experiment.class);
+                for (Map.Entry<String, String> one : day.contradictions().entrySet()) {
+                    add(faults, name, places, one.getKey(), one.getValue());
+                }
+            } catch (JsonProcessingException | IllegalArgumentException e) {
+                add(faults, name, places, "", e.getMessage());
+            }
+        }
+        if (!faults.isEmpty()) {
+            throw new BadInput(faults.values().stream().flatMap(List::stream).toList());
+        }
+        return day;
+    }
+
+    /** What stands under a name; an object where nothing did. */
+    private static JsonNode inner(ObjectNode object, String name) {
+        return object.has(name) ? object.get(name) : object.putObject(name);
+    }
+
+    private static void put(JsonNode tree, String path, String value) throws BadInput {
+        String[] parts = path.split("\\.");
+        JsonNode at = tree;
+        try {
+            JsonNode told = YAML.readTree(value);
+            for (int i = 0; i < parts.length - 1; i++) {
+                at = at instanceof ObjectNode object ? inner(object, parts[i]) : at.path(Integer.parseInt(parts[i]));
+            }
+            if (at instanceof ObjectNode object) {
+                object.set(parts[parts.length - 1], told);
+            } else if (at instanceof ArrayNode array) {
+                array.set(Integer.parseInt(parts[parts.length - 1]), told);
+            } else {
+                throw new BadInput("--set " + path + ": there is no such place");
+            }
+        } catch (IOException | RuntimeException e) {
+            throw new BadInput("--set " + path + "=" + value + ": " + e.getMessage());
+        }
+    }
+
+    public static String write(Experiment day) {
+        try {
+            return YAML.writeValueAsString(day);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    public static JsonNode schemaText() throws IOException {
+        try (InputStream in = ExperimentFile.class.getResourceAsStream(SCHEMA)) {
+            return JSON.readTree(in);
+        }
+    }
+
+    private static Schema schema() {
+        try {
+            return SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12).getSchema(schemaText());
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static String words(Error error, JsonNode found) {
+        return switch (error.getKeyword()) {
+            case "additionalProperties", "unevaluatedProperties" -> "unknown field" + near(error);
+            case "required" -> "is missing";
+            case "type" -> "found " + found.getNodeType().name().toLowerCase(java.util.Locale.ROOT) + " " + shown(found)
+                    + ", allowed: " + error.getSchemaNode().asText();
+            case "enum" -> "found " + shown(found) + ", allowed: " + shown(error.getSchemaNode());
+            case "pattern" -> "found " + shown(found) + ", allowed: a time such as 250ms, 1.5s or 2m";
+            default -> "found " + shown(found) + ": " + error.getMessage();
+        };
+    }
+
+    /** The known name that is nearest to an unknown one, where one is near. */
+    private static String near(Error error) {
+        String best = null;
+        int distance = 4;
+        for (String name : known()) {
+            int far = distance(name, error.getProperty());
+            if (far < distance) {
+                distance = far;
+                best = name;
+            }
+        }
+        return best == null ? "" : "; nearest known: " + best;
+    }
+
+    private static List<String> known() {
+        List<String> names = new ArrayList<>();
+        try {
+            schemaText().findValues("properties").forEach(each -> each.fieldNames().forEachRemaining(names::add));
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return names;
+    }
+
+    private static int distance(String a, String b) {
+        int[] row = new int[b.length() + 1];
+        for (int j = 0; j <= b.length(); j++) {
+            row[j] = j;
+        }
+        for (int i = 1; i <= a.length(); i++) {
+            int diagonal = row[0];
+            row[0] = i;
+            for (int j = 1; j <= b.length(); j++) {
+                int change = diagonal + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1);
+                diagonal = row[j];
+                row[j] = Math.min(change, Math.min(row[j], row[j - 1]) + 1);
+            }
+        }
+        return row[b.length()];
+    }
+
+    private static String shown(JsonNode node) {
+        String text = node.toString();
+        return text.length() <= 60 ? text : text.substring(0, 60) + "...";
+    }
+
+    private static void add(Map<Integer, List<String>> faults, String name, Map<String, JsonLocation> places,
+            String field, String words) {
+        String at = field;
+        while (!places.containsKey(at) && at.contains("/")) {
+            at = at.substring(0, at.lastIndexOf('/'));
+        }
+        JsonLocation place = places.get(at);
+        int line = place == null ? 1 : place.getLineNr();
+        faults.computeIfAbsent(line, number -> new ArrayList<>()).add(name + ":" + line + ": "
+                + (field.isEmpty() ? "the file" : field.substring(1).replace('/', '.')) + ": " + words);
+    }
+
+    private static JsonNode tree(JsonParser parser, String at, Map<String, JsonLocation> places) throws IOException {
+        places.putIfAbsent(at, parser.currentTokenLocation());
+        switch (parser.currentToken()) {
+            case START_OBJECT -> {
+                ObjectNode object = JsonNodeFactory.instance.objectNode();
+                while (parser.nextToken() != JsonToken.END_OBJECT) {
+                    String name = parser.currentName();
+                    places.put(at + "/" + name, parser.currentTokenLocation());
+                    parser.nextToken();
+                    object.set(name, tree(parser, at + "/" + name, places));
+                }
+                return object;
+            }
+            case START_ARRAY -> {
+                ArrayNode array = JsonNodeFactory.instance.arrayNode();
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    array.add(tree(parser, at + "/" + array.size(), places));
+                }
+                return array;
+            }
+            case VALUE_NUMBER_INT -> {
+                return JsonNodeFactory.instance.numberNode(parser.getLongValue());
+            }
+            case VALUE_NUMBER_FLOAT -> {
+                return JsonNodeFactory.instance.numberNode(parser.getDoubleValue());
+            }
+            case VALUE_TRUE, VALUE_FALSE -> {
+                return JsonNodeFactory.instance.booleanNode(parser.getBooleanValue());
+            }
+            case VALUE_NULL -> {
+                return JsonNodeFactory.instance.nullNode();
+            }
+            default -> {
+                return JsonNodeFactory.instance.textNode(parser.getText());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/lab/plan/Span.java
@@ -0,0 +1,54 @@
+package terndyke.lab.plan;
+
+import java.math.BigDecimal;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** A time as people write it (250ms, 1.5s, 2m), held in whole microseconds. */
+public record Span(long micros) implements Comparable<Span> {
+    public static final Span ZERO = new Span(0);
+    public static final String FORM = "^\\d+(\\.\\d+)?(us|ms|s|m)$";
+    private static final Pattern PARTS = Pattern.compile("(\\d+(?:\\.\\d+)?)(us|ms|s|m)");
+
+    @JsonCreator
+    public static Span of(String text) {
+        Matcher parts = PARTS.matcher(text);
+        if (!parts.matches()) {
+            throw new IllegalArgumentException(text + " is no time such as 250ms, 1.5s or 2m");
+        }
+        long unit = switch (parts.group(2)) {
+            case "us" -> 1;
+            case "ms" -> 1_000;
+            case "s" -> 1_000_000;
+            default -> 60_000_000;
+        };
+        return new Span(new BigDecimal(parts.group(1)).multiply(BigDecimal.valueOf(unit)).longValue());
+    }
+
+    public static Span ofMillis(long millis) {
+        return new Span(millis * 1000);
+    }
+
+    public double seconds() {
+        return micros / 1e6;
+    }
+
+    public long millis() {
+        return micros / 1000;
+    }
+
+    @JsonValue
+    @Override
+    public String toString() {
+        return micros % 1_000_000 == 0 ? micros / 1_000_000 + "s"
+                : micros % 1_000 == 0 ? micros / 1_000 + "ms" : micros + "us";
+    }
+
+    @Override
+    public int compareTo(Span other) {
+        return Long.compare(micros, other.micros);
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/lab/report/Comparison.java
@@ -0,0 +1,89 @@
+package terndyke.lab.report;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+import org.apache.commons.statistics.descriptive.DoubleStatistics;
+import org.apache.commons.statistics.descriptive.Statistic;
+import org.apache.commons.statistics.inference.AlternativeHypothesis;
+import org.apache.commons.statistics.inference.TTest;
+import org.apache.commons.statistics.inference.WilcoxonSignedRankTest;
+
+/**
+ * Two sides on the same seeds. Their differences pair by pair say whether one is better: the seeds' own differences,
+ * which are large, cancel out.
+ */
+public record Comparison(String figure, double[] a, double[] b) {
+    private static final double SURE = 0.05;
+
+    public double meanA() {
+        return mean(a);
+    }
+
+    public double meanB() {
+        return mean(b);
+    }
+
+    private static double mean(double[] figures) {
+        return DoubleStatistics.of(java.util.EnumSet.of(Statistic.MEAN), figures).getAsDouble(Statistic.MEAN);
+    }
+
+    static double deviation(double[] figures) {
+        return figures.length < 2 ? 0 : DoubleStatistics.of(java.util.EnumSet.of(Statistic.STANDARD_DEVIATION), figures)
+                .getAsDouble(Statistic.STANDARD_DEVIATION);
+    }
+
+    /** The chance that no difference would look at least like this one; 1 where there are too few pairs to tell. */
+    public double chance() {
+        double[] differences = differences();
+        if (differences.length < 3) {
+            return 1;
+        }
+        if (deviation(differences) < 1e-12) {
+            return Math.abs(mean(differences)) < 1e-12 ? 1 : 0;
+        }
+        return TTest.withDefaults().with(AlternativeHypothesis.TWO_SIDED).pairedTest(a, b).getPValue();
+    }
+
+    /** The same by ranks, which a single wild day cannot carry. */
+    public double chanceByRank() {
+        double[] differences = differences();
+        if (differences.length < 5 || deviation(differences) < 1e-12) {
+            return chance();
+        }
+        return WilcoxonSignedRankTest.withDefaults().test(differences).getPValue();
+    }
+
+    private double[] differences() {
+        double[] differences = new double[a.length];
+        java.util.Arrays.setAll(differences, i -> b[i] - a[i]);
+        return differences;
+    }
+
+    public boolean moreThanNoise() {
+        return chance() < SURE;
+    }
+
+    public String words() {
+        double[] differences = differences();
+        return String.format(Locale.ROOT, "%s: A %.3f (spread %.3f), B %.3f (spread %.3f), B - A %+.3f (spread %.3f), %s "
+                + "(p %.3f by means, %.3f by ranks, %d pairs)", figure, meanA(), deviation(a), meanB(), deviation(b),
+                mean(differences), deviation(differences), a.length < 3 ? "too few pairs to tell"
+                : moreThanNoise() ? "more than noise" : "no more than noise", chance(), chanceByRank(), a.length);
+    }
+
+    /** For each figure that two lists of summaries share, in order. */
+    public static List<Comparison> of(List<com.fasterxml.jackson.databind.JsonNode> a,
+            List<com.fasterxml.jackson.databind.JsonNode> b) {
+        List<Comparison> all = new ArrayList<>();
+        for (String pointer : List.of("/goodput", "/messages/done", "/messages/doneInTarget", "/messages/bounced",
+                "/messages/terminated", "/latencyMs/acceptedFromDue/p99", "/latencyMs/deliveredFromDue/p50",
+                "/latencyMs/deliveredFromDue/p99", "/calls/came")) {
+            all.add(new Comparison(pointer.substring(1).replace('/', '.'),
+                    a.stream().mapToDouble(json -> json.at(pointer).asDouble()).toArray(),
+                    b.stream().mapToDouble(json -> json.at(pointer).asDouble()).toArray()));
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/lab/report/SweepPlot.java
@@ -0,0 +1,50 @@
+package terndyke.lab.report;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.Locale;
+
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** One figure of a summary over the values of a field: mean and spread over the seeds. */
+public final class SweepPlot {
+    private SweepPlot() { }
+
+    /** @param all for each value the summaries of its seeds */
+    public static XYChart of(String field, List<String> values, String figure, List<List<JsonNode>> all, PrintStream out) {
+        double[] x = new double[values.size()];
+        double[] mean = new double[x.length];
+        double[] spread = new double[x.length];
+        for (int i = 0; i < x.length; i++) {
+            x[i] = number(values.get(i), i);
+            double[] figures = all.get(i).stream().mapToDouble(json -> json.at("/" + figure.replace('.', '/')).asDouble())
+                    .toArray();
+            mean[i] = java.util.Arrays.stream(figures).average().orElse(0);
+            spread[i] = Comparison.deviation(figures);
+            out.printf(Locale.ROOT, "%s=%s: %s %.3f, spread %.3f over %d seeds%n", field, values.get(i), figure, mean[i],
+                    spread[i], figures.length);
+        }
+        XYChart chart = Plots.chart(figure + " by " + field, field, figure);
+        chart.addSeries(figure, x, mean, spread).setMarker(SeriesMarkers.CIRCLE);
+        chart.getStyler().setMarkerSize(6);
+        return chart;
+    }
+
+    /** A value's place on the axis: its number, or its turn where it has none. */
+    private static double number(String value, int turn) {
+        String digits = value.replaceAll("[a-zA-Z]+$", "");
+        try {
+            return Double.parseDouble(digits);
+        } catch (NumberFormatException e) {
+            return turn;
+        }
+    }
+
+    public static String image(XYChart chart) throws IOException {
+        return Plots.image(chart);
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/lab/run/Day.java
@@ -0,0 +1,410 @@
+package terndyke.lab.run;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import terndyke.lab.emulate.Agent;
+import terndyke.lab.emulate.Emulator;
+import terndyke.lab.load.Arrival;
+import terndyke.lab.load.Clients;
+import terndyke.lab.load.Intruders;
+import terndyke.lab.load.Pacer;
+import terndyke.lab.load.Schedule;
+import terndyke.lab.load.Trace;
+import terndyke.lab.plan.BadInput;
+import terndyke.lab.plan.Experiment;
+import terndyke.lab.plan.Experiment.Effect;
+import terndyke.lab.plan.Failure;
+import terndyke.lab.plan.Failure.Kind;
+import terndyke.lab.plan.Failure.Side;
+import terndyke.lab.referee.Breach;
+import terndyke.lab.referee.Logbook;
+import terndyke.lab.referee.Referee;
+import terndyke.lab.referee.Rules;
+import terndyke.lab.referee.Sight;
+import terndyke.lab.referee.Sight.What;
+import terndyke.lab.standin.StandInNode;
+import terndyke.lab.wire.Net;
+import terndyke.lab.wire.Ticker;
+
+/**
+ * Plays one experiment: starts the receivers and the nodes, lets clients and failures come by the schedule, ends all, and
+ * has the referee judge. Every process it starts ends with it, whatever happens.
+ */
+public final class Day {
+    private static final long READY = 30_000;
+    private static final long NOTICED = 500_000; // the front notices a node that is away so late
+    private static final long TERM_GRACE = 3_700;
+    private static final long DOWN = 600;
+    private static final long OVERDUE = 400_000; // the referee's tolerance behind a record's end
+    private static final long LOOK = 500_000;
+
+    private final Experiment day;
+    private final Path folder;
+    private final String jar;
+    private final StandInNode.Fault standIn;
+    private final PrintStream progress;
+    private final Logbook logbook = new Logbook();
+    private final List<Subject> nodes = new ArrayList<>();
+    private final CountDownLatch interrupted = new CountDownLatch(1);
+    private final CountDownLatch over = new CountDownLatch(1);
+    private final Pacer pacer = new Pacer();
+    private final Object[] commands; // one signal after another for each node
+    private Clients clients;
+    private volatile boolean ending;
+    private int failuresUnderWay;
+
+    /**
+     * @param jar what to run as a node; null is the program of this laboratory
+     * @param standIn a stand-in in the nodes' place with that fault; null is the real node
+     */
+    public Day(Experiment day, Path folder, String jar, StandInNode.Fault standIn, PrintStream progress) {
+        this.day = day;
+        this.folder = folder;
+        this.jar = jar;
+        this.standIn = standIn;
+        this.progress = progress;
+        commands = new Object[day.nodes().count()];
+        java.util.Arrays.setAll(commands, i -> new Object());
+    }
+
+    /** Ends the day early, from any thread; play returns as soon as all is stopped. */
+    public void interrupt() {
+        interrupted.countDown();
+        pacer.stop();
+    }
+
+    /** Waits until play has returned. */
+    public boolean awaitOver(long millis) throws InterruptedException {
+        return over.await(millis, TimeUnit.MILLISECONDS);
+    }
+
+    public Outcome play() throws IOException, BadInput, InterruptedException {
+        List<Arrival> arrivals = arrivals();
+        Files.createDirectories(folder);
+        try (Ticker ticker = new Ticker("terndyke-lab-answers");
+                Ticker clientTicker = new Ticker("terndyke-lab-clients");
+                Ticker failureTicker = new Ticker("terndyke-lab-failures");
+                Net receiving = new Net("terndyke-lab-receivers", 2);
+                Net calling = new Net("terndyke-lab-clients", 2);
+                Emulator emulator = new Emulator(day, logbook, receiving, ticker, true)) {
+            return play(arrivals, clientTicker, failureTicker, receiving, calling, emulator);
+        } finally {
+            nodes.forEach(Subject::destroy);
+            over.countDown();
+        }
+    }
+
+    private List<Arrival> arrivals() throws BadInput {
+        List<Arrival> arrivals = new ArrayList<>(day.load().trace() == null ? Schedule.of(day)
+                : Trace.read(Path.of(day.load().trace()), day));
+        int offered = arrivals.size();
+        arrivals.removeIf(arrival -> arrival.due() >= day.length().micros());
+        if (arrivals.isEmpty() && offered > 0) {
+            throw new BadInput("the trace holds nothing within " + day.length());
+        }
+        return arrivals;
+    }
+
+    private record Item(Arrival arrival, boolean extra) { }
+
+    private Outcome play(List<Arrival> arrivals, Ticker clientTicker, Ticker failureTicker, Net receiving, Net calling,
+            Emulator emulator) throws IOException, InterruptedException {
+        long began = Ticker.now();
+        progress.printf("%s, seed %d: %d nodes, %d receivers, %d records in %s%n", day.name(), day.seed(),
+                day.nodes().count(), emulator.receivers(), arrivals.size(), day.length());
+        startNodes(emulator, receiving);
+        String voided = null;
+        for (int node = 0; node < nodes.size() && voided == null; node++) {
+            if (!nodes.get(node).awaitReady(READY)) {
+                voided = "node " + node + " did not serve within " + READY / 1000 + " s: " + lastWords(node);
+            } else {
+                see(What.NODE_READY, node, null);
+            }
+        }
+        List<InetSocketAddress> addresses = nodes.stream().map(Subject::listen).toList();
+        clients = new Clients(day, calling, clientTicker, logbook, addresses);
+        Sampler sampler = new Sampler(nodes, emulator);
+        if (voided == null) {
+            logbook.startAt(Ticker.now() + 200_000);
+            long start = logbook.start();
+            Intruders intruders = new Intruders(calling, clientTicker, addresses, day.grades().get(0).name(), day.seed());
+            List<Item> items = items(arrivals);
+            day.failures().stream().filter(failure -> failure.at().compareTo(day.length()) < 0)
+                    .forEach(failure -> plan(failure, start, failureTicker, emulator, intruders));
+            failureTicker.at(start, new Look(sampler, failureTicker, start));
+            int ran = pacer.run(items.size(), i -> (start + items.get(i).arrival.due()) * 1000,
+                    i -> clients.due(i, items.get(i).arrival, start + items.get(i).arrival.due(), items.get(i).extra));
+            settle(start);
+            if (ran < items.size() || interrupted.getCount() == 0) {
+                voided = "interrupted";
+            }
+        }
+        ending = true;
+        double seconds = (Ticker.now() - logbook.start()) / 1e6;
+        stopNodes();
+        if (voided == null && pacer.lateness().getValueAtPercentile(99) > day.late().micros()) {
+            voided = String.format("the tool itself was late: 99%% within %.1f ms, %.1f ms at most, %s allowed",
+                    pacer.lateness().getValueAtPercentile(99) / 1e3, pacer.lateness().getMaxValue() / 1e3, day.late());
+        }
+        List<Sight> sights = logbook.all();
+        Referee referee = new Referee(Rules.of(day), Ticker.now() - logbook.start());
+        List<Breach> breaches = voided != null && clients.atTheDoors()[0] == 0 ? List.of() : referee.judge(sights);
+        if ("interrupted".equals(voided)) {
+            breaches = breaches.stream().filter(breach -> breach.rule() != 1).toList(); // ends that could not come any more
+        }
+        progress.printf("over after %.1f s%n", (Ticker.now() - began) / 1e6);
+        return new Outcome(day, standIn != null ? "stand-in " + standIn : jar == null ? "this build" : jar, voided, breaches,
+                sights, List.copyOf(referee.stories()), arrivals.size(), clients.atTheDoors(), clients.fromDue(),
+                clients.fromSent(), pacer.lateness(), sampler.samples(), emulator.receivers(), seconds);
+    }
+
+    private final class Look implements Runnable {
+        private final Sampler sampler;
+        private final Ticker ticker;
+        private final long start;
+        private long looks;
+
+        Look(Sampler sampler, Ticker ticker, long start) {
+            this.sampler = sampler;
+            this.ticker = ticker;
+            this.start = start;
+        }
+
+        @Override
+        public void run() {
+            if (ending) {
+                return;
+            }
+            sampler.look(start);
+            looks++;
+            if (looks % 6 == 0) {
+                int[] doors = clients.atTheDoors();
+                progress.printf("%6.1f s  %d handed in, %d taken, %d under way%n", (Ticker.now() - start) / 1e6, doors[0],
+                        doors[1], clients.open());
+            }
+            ticker.at(start + looks * LOOK, this);
+        }
+    }
+
+    private List<Item> items(List<Arrival> arrivals) {
+        List<Item> items = new ArrayList<>();
+        arrivals.forEach(arrival -> items.add(new Item(arrival, false)));
+        String grade = day.grades().stream().filter(one -> one.effect() == Effect.IDEMPOTENT && !one.inOrder()).findFirst()
+                .orElse(day.grades().get(0)).name();
+        for (Failure failure : day.failures()) {
+            if (failure.kind() == Kind.FLOOD) {
+                Intruders.flood(failure, grade, day.tenants().get(0).name(), day.destinationCount()).stream()
+                        .filter(arrival -> arrival.due() < day.length().micros())
+                        .forEach(arrival -> items.add(new Item(arrival, true)));
+            }
+        }
+        items.sort(Comparator.comparingLong(item -> item.arrival.due()));
+        return items;
+    }
+
+    private void startNodes(Emulator emulator, Net net) throws IOException {
+        for (int node = 0; node < day.nodes().count(); node++) {
+            int number = node;
+            Agent agent = emulator.agents().get(node);
+            if (standIn != null) {
+                nodes.add(new StandInNode(Net.free("127.0.0.1"), net, NodeFile.of(day, node, day.seed(),
+                        new InetSocketAddress("127.0.0.1", 1), agent.address(), agent.whole()), standIn));
+            } else {
+                Path own = folder.resolve("n" + node);
+                Files.createDirectories(own);
+                InetSocketAddress listen = Net.free("127.0." + (10 + node) + ".3");
+                nodes.add(new NodeProcess(own, listen, NodeProcess.program(jar),
+                        () -> NodeFile.of(day, number, day.seed() * 1000 + number, listen, agent.address(), agent.whole()),
+                        day.nodes().diskMb()));
+            }
+            see(What.NODE_STARTS, node, null);
+            nodes.get(node).start();
+        }
+    }
+
+    private String lastWords(int node) {
+        return nodes.get(node) instanceof NodeProcess process ? process.lastWords() : "";
+    }
+
+    private void see(What what, int node, String note) {
+        logbook.add(Sight.process(Ticker.now(), what, node, note));
+    }
+
+    private synchronized void underWay(int change) {
+        failuresUnderWay += change;
+    }
+
+    private void plan(Failure failure, long start, Ticker ticker, Emulator emulator, Intruders intruders) {
+        underWay(1);
+        ticker.at(start + failure.at().micros(), () -> {
+            progress.printf("%6.1f s  %s begins, for %s%n", failure.at().seconds(), failure.kind().told(), failure.lasts());
+            if (failure.kind().side() == Side.NODE) {
+                for (int node = 0; node < nodes.size(); node++) {
+                    if (failure.strikes(node)) {
+                        int number = node;
+                        underWay(1);
+                        Thread thread = new Thread(() -> {
+                            strike(failure, number);
+                            underWay(-1);
+                        }, "terndyke-lab-signals");
+                        thread.setDaemon(true);
+                        thread.start();
+                    }
+                }
+            } else if (failure.kind().side() == Side.CLIENT) {
+                intruders.begin(failure, start + failure.until());
+            } else {
+                emulator.begin(failure);
+            }
+        });
+        ticker.at(start + failure.until(), () -> {
+            if (failure.kind().side() == Side.RECEIVER || failure.kind().side() == Side.DISCOVERY) {
+                emulator.end(failure);
+            }
+            underWay(-1);
+        });
+    }
+
+    private void strike(Failure failure, int node) {
+        Subject subject = nodes.get(node);
+        try {
+            synchronized (commands[node]) {
+                if (ending) {
+                    return;
+                }
+                switch (failure.kind()) {
+                    case KILL -> {
+                        see(What.NODE_KILLED, node, null);
+                        subject.signal("KILL");
+                        subject.awaitEnd(5_000);
+                        again(node, failure.lasts().millis());
+                    }
+                    case RESTART -> {
+                        see(What.NODE_TERM, node, null);
+                        subject.signal("TERM");
+                        if (!subject.awaitEnd(TERM_GRACE)) {
+                            see(What.NODE_KILLED, node, "did not end after SIGTERM");
+                            subject.signal("KILL");
+                            subject.awaitEnd(5_000);
+                        }
+                        again(node, DOWN);
+                    }
+                    case HANGUP -> {
+                        for (int i = 0; i < failure.amount(); i++) {
+                            subject.signal("HUP");
+                        }
+                    }
+                    case FREEZE -> {
+                        see(What.NODE_FROZEN, node, null);
+                        subject.signal("STOP");
+                        Thread.sleep(failure.lasts().millis());
+                        subject.signal("CONT");
+                        see(What.NODE_THAWED, node, null);
+                    }
+                    case DISK_FULL -> {
+                        subject.fillDisk(true);
+                        Thread.sleep(failure.lasts().millis());
+                        subject.fillDisk(false);
+                    }
+                    default -> { }
+                }
+            }
+        } catch (IOException e) {
+            progress.println("node " + node + ": " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Starts a node again after its death, and tells the front late of both. */
+    private void again(int node, long downMillis) throws IOException, InterruptedException {
+        Subject subject = nodes.get(node);
+        see(What.NODE_ENDED, node, null);
+        Thread.sleep(Math.min(downMillis, NOTICED / 1000));
+        clients.away(node, true);
+        Thread.sleep(Math.max(0, downMillis - NOTICED / 1000));
+        if (ending) {
+            return;
+        }
+        see(What.NODE_STARTS, node, null);
+        subject.start();
+        if (subject.awaitReady(READY)) {
+            see(What.NODE_READY, node, null);
+            clients.away(node, false);
+        } else {
+            see(What.NODE_CRASHED, node, "did not serve again: " + lastWords(node));
+        }
+    }
+
+    /** Waits until every record has its end, or until the last one's time is over. */
+    private void settle(long start) throws InterruptedException {
+        long longest = day.grades().stream().mapToLong(grade -> grade.abandon().micros()).max().orElse(0);
+        long last = start + day.length().micros() + longest + OVERDUE + day.settle().micros();
+        while (Ticker.now() < last && interrupted.getCount() > 0) {
+            if (Ticker.now() > start + day.length().micros() && clients.open() == 0 && quiet() && allEnded()) {
+                interrupted.await(day.settle().micros(), TimeUnit.MICROSECONDS);
+                return;
+            }
+            interrupted.await(100, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private synchronized boolean quiet() {
+        return failuresUnderWay == 0;
+    }
+
+    private boolean allEnded() {
+        java.util.Set<String> owed = new java.util.HashSet<>();
+        java.util.Set<String> ended = new java.util.HashSet<>();
+        for (Sight sight : logbook.all()) {
+            if (sight.what() == What.ANSWERED && (sight.status() == 202 || sight.status() == 200)) {
+                owed.add(sight.id());
+            } else if (sight.what() == What.NOTICE || sight.what() == What.CALL_ANSWERED && sight.status() == 200) {
+                ended.add(sight.id());
+            }
+        }
+        return ended.containsAll(owed);
+    }
+
+    private void stopNodes() throws InterruptedException {
+        for (int node = 0; node < nodes.size(); node++) {
+            Subject subject = nodes.get(node);
+            if (!subject.running() && !awayNow(node)) {
+                see(What.NODE_CRASHED, node, "ended before it was told to: " + lastWords(node));
+            }
+            see(What.NODE_TERM, node, "the day is over");
+            subject.signal("CONT");
+            subject.signal("TERM");
+        }
+        for (Subject subject : nodes) {
+            if (!subject.awaitEnd(TERM_GRACE)) {
+                subject.destroy();
+                subject.awaitEnd(5_000);
+            }
+        }
+    }
+
+    /** Whether the last word on a node is that it was ended by the day. */
+    private boolean awayNow(int node) {
+        boolean away = false;
+        for (Sight sight : logbook.all()) {
+            if (sight.node() == node) {
+                away = switch (sight.what()) {
+                    case NODE_KILLED, NODE_TERM, NODE_ENDED -> true;
+                    case NODE_READY -> false;
+                    default -> away;
+                };
+            }
+        }
+        return away;
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/lab/run/NodeProcess.java
@@ -0,0 +1,172 @@
+package terndyke.lab.run;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+
+/** A real node in a process of its own, started as the deployment starts it. */
+public final class NodeProcess implements Subject {
+    private static final List<String> FLAGS = List.of("-Xshare:auto", "-XX:+UseSerialGC", "-Xms36m", "-Xmx36m", "-Xmn10m",
+            "-XX:+AlwaysPreTouch", "-Xss512k", "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=24m",
+            "-XX:MaxDirectMemorySize=12m", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
+
+    private final Path folder;
+    private final Path state;
+    private final InetSocketAddress listen;
+    private final List<String> program;
+    private final Supplier<String> file;
+    private final double diskMb;
+    private Process process;
+
+    /**
+     * @param program what stands behind java's flags: a jar or a class path and a class
+     * @param file the configuration, made anew for each start
+     */
+    NodeProcess(Path folder, InetSocketAddress listen, List<String> program, Supplier<String> file, double diskMb)
+            throws IOException {
+        this.folder = folder;
+        this.listen = listen;
+        this.program = program;
+        this.file = file;
+        this.diskMb = diskMb;
+        state = folder.resolve("state");
+        Files.createDirectories(state);
+    }
+
+    /** What to start: that jar, or else the program that this laboratory belongs to. */
+    static List<String> program(String jar) {
+        if (jar != null) {
+            return List.of("-jar", jar);
+        }
+        String own = System.getProperty("terndyke.jar");
+        return own != null ? List.of("-jar", own) : List.of("-cp", System.getProperty("java.class.path"), "terndyke.Main");
+    }
+
+    @Override
+    public InetSocketAddress listen() {
+        return listen;
+    }
+
+    @Override
+    public void start() throws IOException {
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, file.get());
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+        command.addAll(FLAGS);
+        int jar = program.indexOf("-jar");
+        if (jar >= 0) {
+            Path archive = Path.of(program.get(jar + 1).replaceFirst("\\.jar$", ".jsa"));
+            if (Files.exists(archive)) {
+                command.add("-XX:SharedArchiveFile=" + archive);
+            }
+        }
+        command.addAll(program);
+        command.addAll(List.of("serve", "--config", config.toString(), "--state", state.toString()));
+        File log = folder.resolve("log").toFile();
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+        builder.environment().put("MALLOC_ARENA_MAX", "1");
+        process = builder.start();
+        process.getOutputStream().close();
+    }
+
+    @Override
+    public boolean awaitReady(long patienceMillis) throws InterruptedException {
+        long end = System.nanoTime() + patienceMillis * 1_000_000;
+        while (System.nanoTime() < end && process.isAlive()) {
+            if (healthy()) {
+                return true;
+            }
+            Thread.sleep(20);
+        }
+        return false;
+    }
+
+    private boolean healthy() {
+        try (Socket socket = new Socket()) {
+            socket.connect(listen, 1_000);
+            socket.setSoTimeout(1_000);
+            OutputStream out = socket.getOutputStream();
+            out.write("GET /_health HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).equals("HTTP/1.1 200");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    @Override
+    public void signal(String name) {
+        try {
+            if (process.isAlive()) {
+                new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+            }
+        } catch (IOException e) {
+            throw new IllegalStateException("no signal can be sent: " + e.getMessage(), e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public boolean awaitEnd(long patienceMillis) throws InterruptedException {
+        return process.waitFor(patienceMillis, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public boolean running() {
+        return process != null && process.isAlive();
+    }
+
+    @Override
+    public long pid() {
+        return process == null ? 0 : process.pid();
+    }
+
+    /** What the process ended with. */
+    int status() {
+        return process.exitValue();
+    }
+
+    /** The last lines of its log, for people. */
+    String lastWords() {
+        try {
+            List<String> lines = Files.readAllLines(folder.resolve("log"), StandardCharsets.ISO_8859_1);
+            return String.join(" | ", lines.subList(Math.max(0, lines.size() - 3), lines.size()));
+        } catch (IOException e) {
+            return "no log";
+        }
+    }
+
+    @Override
+    public void fillDisk(boolean full) throws IOException {
+        Path filler = state.resolve("filler");
+        if (!full) {
+            Files.deleteIfExists(filler);
+            return;
+        }
+        long used = 0;
+        try (Stream<Path> files = Files.list(state)) {
+            for (Path one : files.toList()) {
+                used += (Files.size(one) + 511) / 512 * 512;
+            }
+        }
+        Files.write(filler, new byte[(int) Math.max(0, diskMb * 1_000_000 - used)]);
+    }
+
+    @Override
+    public void destroy() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/lab/run/Sampler.java
@@ -0,0 +1,75 @@
+package terndyke.lab.run;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import terndyke.lab.emulate.Emulator;
+import terndyke.lab.wire.Ticker;
+
+/** Measures the nodes' processes and the receivers' load at steady times, from outside. */
+public final class Sampler {
+    /** One look: seconds since the start; per node memory (MB), share of a core, descriptors; per destination in hand. */
+    public record Sample(double at, double[] memoryMb, double[] cores, int[] descriptors, int[] inHand, int[] connections) { }
+
+    private static final double TICKS = 100; // of /proc, a second
+    private final List<Subject> nodes;
+    private final Emulator emulator;
+    private final List<Sample> samples = new ArrayList<>();
+    private final long[] lastTicks;
+    private final long[] lastPid;
+    private long lastAt;
+
+    Sampler(List<Subject> nodes, Emulator emulator) {
+        this.nodes = nodes;
+        this.emulator = emulator;
+        lastTicks = new long[nodes.size()];
+        lastPid = new long[nodes.size()];
+    }
+
+    synchronized void look(long start) {
+        long now = Ticker.now();
+        int count = nodes.size();
+        double[] memory = new double[count];
+        double[] cores = new double[count];
+        int[] descriptors = new int[count];
+        for (int i = 0; i < count; i++) {
+            long pid = nodes.get(i).running() ? nodes.get(i).pid() : 0;
+            if (pid == 0) {
+                continue;
+            }
+            try {
+                String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
+                String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+                long ticks = Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
+                memory[i] = Long.parseLong(fields[21]) * 4096 / 1e6;
+                if (lastPid[i] == pid && now > lastAt) {
+                    cores[i] = (ticks - lastTicks[i]) / TICKS / ((now - lastAt) / 1e6);
+                }
+                lastTicks[i] = ticks;
+                lastPid[i] = pid;
+                try (Stream<Path> open = Files.list(Path.of("/proc/" + pid + "/fd"))) {
+                    descriptors[i] = (int) open.count();
+                }
+            } catch (IOException | RuntimeException e) {
+                lastPid[i] = 0; // it has just ended
+            }
+        }
+        lastAt = now;
+        int[][] load = emulator.inHand();
+        int[] inHand = new int[load.length];
+        int[] connections = new int[load.length];
+        for (int i = 0; i < load.length; i++) {
+            inHand[i] = load[i][0];
+            connections[i] = load[i][1];
+        }
+        samples.add(new Sample((now - start) / 1e6, memory, cores, descriptors, inHand, connections));
+    }
+
+    synchronized List<Sample> samples() {
+        return List.copyOf(samples);
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/lab/wire/Link.java
@@ -0,0 +1,272 @@
+package terndyke.lab.wire;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.ParseException;
+import org.apache.hc.core5.http.message.BasicLineParser;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.util.CharArrayBuffer;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * One connection of the laboratory, on HttpCore's reactor but below its message streams: a laboratory has to write what
+ * no library would, and to know when a first and a last byte came or left. Reading goes on in the I/O thread; writing is
+ * safe from any.
+ */
+public abstract class Link implements IOEventHandler {
+    private static final int MOST = 1 << 20;
+    private static final int LINE = 16 << 10;
+
+    private final IOSession session;
+    private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
+    private byte[] buffer = new byte[2 << 10];
+    private int from;
+    private int to;
+    private boolean begun;
+    private boolean deaf;
+    private boolean over;
+
+    protected Link(IOSession session) {
+        this.session = session;
+    }
+
+    /** The connection is there. */
+    protected void opened() { }
+
+    /** The first byte of a message has come. */
+    protected void begins() { }
+
+    /** A message has come whole. */
+    protected abstract void came(Message message);
+
+    /** What came cannot be read. */
+    protected abstract void unreadable(String why);
+
+    /** The connection is over, whoever ended it; told once. */
+    protected abstract void ended();
+
+    public SocketAddress localAddress() {
+        return session.getLocalAddress();
+    }
+
+    public boolean isOpen() {
+        return session.isOpen();
+    }
+
+    /** Writes all of this, now or as the other side reads. */
+    public void write(byte[] bytes) {
+        session.getLock().lock();
+        try {
+            ByteBuffer rest = ByteBuffer.wrap(bytes);
+            if (unsent.isEmpty()) {
+                session.write(rest);
+            }
+            if (rest.hasRemaining()) {
+                unsent.add(rest);
+                session.setEvent(SelectionKey.OP_WRITE);
+            }
+        } catch (IOException | RuntimeException e) {
+            session.close(CloseMode.IMMEDIATE);
+        } finally {
+            session.getLock().unlock();
+        }
+    }
+
+    /** Bytes that the other side has not taken yet. */
+    public int unsent() {
+        session.getLock().lock();
+        try {
+            return unsent.stream().mapToInt(ByteBuffer::remaining).sum();
+        } finally {
+            session.getLock().unlock();
+        }
+    }
+
+    /** Ends the connection in good order. */
+    public void close() {
+        session.close(CloseMode.GRACEFUL);
+    }
+
+    /** Ends the connection with a reset. */
+    public void reset() {
+        session.close(CloseMode.IMMEDIATE);
+    }
+
+    /** Reads nothing any more; what comes stays in the kernel. */
+    public void deafen() {
+        deaf = true;
+        session.clearEvent(SelectionKey.OP_READ);
+    }
+
+    @Override
+    public void connected(IOSession one) {
+        one.setEventMask(SelectionKey.OP_READ);
+        opened();
+    }
+
+    @Override
+    public void inputReady(IOSession one, ByteBuffer first) throws IOException {
+        if (deaf) {
+            one.clearEvent(SelectionKey.OP_READ);
+            return;
+        }
+        while (true) {
+            if (to == buffer.length) {
+                makeRoom();
+            }
+            int read = one.read(ByteBuffer.wrap(buffer, to, buffer.length - to));
+            if (read < 0) {
+                one.close(CloseMode.GRACEFUL);
+                return;
+            }
+            if (read == 0) {
+                return;
+            }
+            if (!begun) {
+                begun = true;
+                begins();
+            }
+            to += read;
+            while (from < to && !deaf && take()) {
+                begun = from < to;
+                if (begun) {
+                    begins();
+                }
+            }
+        }
+    }
+
+    private void makeRoom() {
+        if (from > 0) {
+            System.arraycopy(buffer, from, buffer, 0, to - from);
+            to -= from;
+            from = 0;
+        }
+        if (to == buffer.length) {
+            buffer = Arrays.copyOf(buffer, buffer.length * 2);
+        }
+    }
+
+    /** Takes one whole message off the buffer; false where it is not whole yet. */
+    private boolean take() {
+        int head = headEnd();
+        if (head < 0) {
+            if (to - from > LINE) {
+                unreadable("a head of more than " + LINE + " bytes");
+                from = to;
+            }
+            return false;
+        }
+        try {
+            Map<String, String> fields = new HashMap<>();
+            String[] first = null;
+            int at = from;
+            while (at < head) {
+                int end = at;
+                while (buffer[end] != '\n') {
+                    end++;
+                }
+                int stop = end > at && buffer[end - 1] == '\r' ? end - 1 : end;
+                if (stop > at && first == null) {
+                    first = new String(buffer, at, stop - at, StandardCharsets.ISO_8859_1).split(" ", 3);
+                    if (first.length < 2 || !first[0].startsWith("HTTP/1.")
+                            && (first.length < 3 || !first[2].startsWith("HTTP/1."))) {
+                        throw new ParseException("no first line");
+                    }
+                } else if (stop > at) {
+                    CharArrayBuffer line = new CharArrayBuffer(stop - at);
+                    line.append(buffer, at, stop - at);
+                    Header field = BasicLineParser.INSTANCE.parseHeader(line);
+                    fields.put(field.getName().toLowerCase(Locale.ROOT), field.getValue());
+                }
+                at = end + 1;
+            }
+            int bodyEnd = first == null ? head : head + bodyLength(first, fields);
+            if (to < bodyEnd) {
+                return false;
+            }
+            byte[] body = Arrays.copyOfRange(buffer, head, bodyEnd);
+            from = bodyEnd;
+            if (from == to) {
+                from = 0;
+                to = 0;
+            }
+            if (first != null) {
+                came(new Message(first, fields, body));
+            }
+            return true;
+        } catch (ParseException | NumberFormatException e) {
+            from = 0;
+            to = 0;
+            unreadable(e.getMessage());
+            return false;
+        }
+    }
+
+    private static int bodyLength(String[] first, Map<String, String> fields) throws ParseException {
+        String length = fields.get("content-length");
+        if (fields.containsKey("transfer-encoding")) {
+            throw new ParseException("a body in chunks");
+        }
+        int bytes = length == null || first[1].equals("204") ? 0 : Integer.parseInt(length);
+        if (bytes < 0 || bytes > MOST) {
+            throw new ParseException("a body of " + bytes + " bytes");
+        }
+        return bytes;
+    }
+
+    private int headEnd() {
+        for (int i = from; i + 1 < to; i++) {
+            if (buffer[i] == '\n' && (buffer[i + 1] == '\n'
+                    || buffer[i + 1] == '\r' && i + 2 < to && buffer[i + 2] == '\n')) {
+                return buffer[i + 1] == '\n' ? i + 2 : i + 3;
+            }
+        }
+        return -1;
+    }
+
+    @Override
+    public void outputReady(IOSession one) throws IOException {
+        one.getLock().lock();
+        try {
+            while (!unsent.isEmpty()) {
+                one.write(unsent.peek());
+                if (unsent.peek().hasRemaining()) {
+                    return;
+                }
+                unsent.poll();
+            }
+            one.clearEvent(SelectionKey.OP_WRITE);
+        } finally {
+            one.getLock().unlock();
+        }
+    }
+
+    @Override
+    public void timeout(IOSession one, Timeout timeout) { }
+
+    @Override
+    public void exception(IOSession one, Exception cause) {
+        one.close(CloseMode.IMMEDIATE);
+    }
+
+    @Override
+    public void disconnected(IOSession one) {
+        if (!over) {
+            over = true;
+            ended();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/lab/wire/Net.java
@@ -0,0 +1,115 @@
+package terndyke.lab.wire;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+
+import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.nio.command.ShutdownCommand;
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.net.NamedEndpoint;
+import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+import org.apache.hc.core5.reactor.IOEventHandler;
+import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+import org.apache.hc.core5.reactor.ProtocolIOSession;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+
+/** The laboratory's sockets on HttpCore's reactor: listeners and connections, each with a link of its own. */
+public final class Net implements AutoCloseable {
+    private static final long PATIENCE = 10;
+
+    private final DefaultListeningIOReactor reactor;
+
+    /** Makes the link of a new connection. */
+    public interface Maker extends Function<IOSession, Link> { }
+
+    public Net(String name, int threads) {
+        AtomicInteger number = new AtomicInteger();
+        IOReactorConfig io = IOReactorConfig.custom().setIoThreadCount(threads).setTcpNoDelay(true).setSoReuseAddress(true)
+                .setSelectInterval(TimeValue.ofMilliseconds(50)).setBacklogSize(512).build();
+        reactor = new DefaultListeningIOReactor(Net::handler, io,
+                work -> thread(work, name + "-io-" + number.incrementAndGet()),
+                work -> thread(work, name + "-accept"), null, cause -> { }, null,
+                ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK);
+        reactor.start();
+    }
+
+    private static IOEventHandler handler(ProtocolIOSession session, Object maker) {
+        return ((Maker) maker).apply(session);
+    }
+
+    private static Thread thread(Runnable work, String name) {
+        Thread thread = new Thread(work, name);
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    /** Listens on an address until the listener is closed. */
+    public ListenerEndpoint listen(InetSocketAddress address, Maker maker) throws IOException {
+        Future<ListenerEndpoint> listening = reactor.listen(address, maker, null);
+        try {
+            return listening.get(PATIENCE, TimeUnit.SECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while starting to listen", e);
+        }
+    }
+
+    /** Connects; what the link becomes is told by its own methods, and whenFailed runs where it never comes up. */
+    public void connect(InetSocketAddress address, long timeoutMicros, Maker maker, Runnable whenFailed) {
+        NamedEndpoint name = new NamedEndpoint() {
+            @Override
+            public String getHostName() {
+                return address.getHostString();
+            }
+
+            @Override
+            public int getPort() {
+                return address.getPort();
+            }
+        };
+        try {
+            reactor.connect(name, address, null, Timeout.ofMicroseconds(timeoutMicros), maker,
+                    new FutureCallback<IOSession>() {
+                        @Override
+                        public void completed(IOSession session) { }
+
+                        @Override
+                        public void failed(Exception cause) {
+                            whenFailed.run();
+                        }
+
+                        @Override
+                        public void cancelled() {
+                            whenFailed.run();
+                        }
+                    });
+        } catch (RuntimeException e) {
+            whenFailed.run(); // the reactor is closing
+        }
+    }
+
+    /** A port of this loopback address that nobody listens on now. */
+    public static InetSocketAddress free(String host) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+            return new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
+        }
+    }
+
+    @Override
+    public void close() {
+        reactor.close(CloseMode.IMMEDIATE);
+    }
+}
