Laboratory's tests: the referee finds each of six planted faults and blames no right node

Need: a referee that cannot fail proves nothing. Six stand-in nodes each break one rule on sockets and each is found with just that rule; the plain one is not blamed.

--- a/src/main/java/terndyke/lab/Lab.java
+++ b/src/main/java/terndyke/lab/Lab.java
@@ -27,6 +27,7 @@
 import terndyke.lab.emulate.Emulator;
 import terndyke.lab.load.Arrival;
 import terndyke.lab.load.LoadTool;
+import terndyke.lab.load.Proof;
 import terndyke.lab.load.Schedule;
 import terndyke.lab.load.Trace;
 import terndyke.lab.plan.BadInput;
@@ -198,6 +199,9 @@
         private String folder = "lab/experiments";
     }
 
+    @Parameters(commandDescription = "check the load tool on this machine against stand-ins with known delays")
+    private static final class Prove { }
+
     @Parameters(commandDescription = "print the schema of experiment files")
     private static final class SchemaOf { }
 
@@ -241,6 +245,7 @@
         commands.put("shrink", new Shrink());
         commands.put("compare", new Compare());
         commands.put("sweep", new Sweep());
+        commands.put("prove", new Prove());
         commands.put("list", new Listing());
         commands.put("schema", new SchemaOf());
         commands.put("help", new Help());
@@ -283,6 +288,8 @@
             return compare(compare);
         } else if (command instanceof Sweep sweep) {
             return sweep(sweep);
+        } else if (command instanceof Prove) {
+            return new Proof(out).run() ? KEPT : 1;
         } else if (command instanceof Listing listing) {
             return list(listing);
         } else if (command instanceof SchemaOf) {
--- a/src/main/java/terndyke/lab/referee/Referee.java
+++ b/src/main/java/terndyke/lab/referee/Referee.java
@@ -129,7 +129,7 @@
 
     private boolean isAway(int node, long at) {
         return away.getOrDefault(node, List.of()).stream()
-                .anyMatch(span -> span[0] <= at + rules.slack() && at <= span[1] + rules.slack());
+                .anyMatch(span -> span[0] <= at + rules.slack() && at - rules.slack() <= span[1]);
     }
 
     private void call(Sight sight, Story story) {
--- a/src/main/java/terndyke/lab/run/Day.java
+++ b/src/main/java/terndyke/lab/run/Day.java
@@ -42,6 +42,7 @@
 public final class Day {
     private static final long READY = 30_000;
     private static final long NOTICED = 500_000; // the front notices a node that is away so late
+    private static final long PLANNED = 300; // the front still sends to a node for so long after its SIGTERM
     private static final long TERM_GRACE = 3_700;
     private static final long DOWN = 600;
     private static final long OVERDUE = 400_000; // the referee's tolerance behind a record's end
@@ -291,7 +292,9 @@
                     case RESTART -> {
                         see(What.NODE_TERM, node, null);
                         subject.signal("TERM");
-                        if (!subject.awaitEnd(TERM_GRACE)) {
+                        boolean ended = subject.awaitEnd(PLANNED);
+                        clients.away(node, true); // a planned restart is told to the front
+                        if (!ended && !subject.awaitEnd(TERM_GRACE - PLANNED)) {
                             see(What.NODE_KILLED, node, "did not end after SIGTERM");
                             subject.signal("KILL");
                             subject.awaitEnd(5_000);
--- /dev/null
+++ b/src/main/java/terndyke/lab/standin/PlainReceiver.java
@@ -0,0 +1,60 @@
+package terndyke.lab.standin;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.LongUnaryOperator;
+
+import org.apache.hc.core5.io.CloseMode;
+import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
+
+import terndyke.lab.wire.Link;
+import terndyke.lab.wire.Message;
+import terndyke.lab.wire.Net;
+import terndyke.lab.wire.Ticker;
+
+/** Answers every request with 200 after a delay that is known beforehand: what a load tool is checked against. */
+public final class PlainReceiver implements AutoCloseable {
+    private static final byte[] DONE = Message.bytes("HTTP/1.1 200 -", "", new byte[0]);
+
+    private final ListenerEndpoint listener;
+    private final LongUnaryOperator answerAt;
+    private final Ticker ticker;
+
+    /** @param answerAt when a request that came at a time is answered, both in microseconds; the same time is at once */
+    public PlainReceiver(InetSocketAddress address, Net net, Ticker ticker, LongUnaryOperator answerAt) throws IOException {
+        this.answerAt = answerAt;
+        this.ticker = ticker;
+        listener = net.listen(address, Side::new);
+    }
+
+    @Override
+    public void close() {
+        listener.close(CloseMode.IMMEDIATE);
+    }
+
+    private final class Side extends Link {
+        Side(IOSession session) {
+            super(session);
+        }
+
+        @Override
+        protected void came(Message message) {
+            long now = Ticker.now();
+            long at = answerAt.applyAsLong(now);
+            if (at <= now) {
+                write(DONE);
+            } else {
+                ticker.at(at, () -> write(DONE));
+            }
+        }
+
+        @Override
+        protected void unreadable(String why) {
+            reset();
+        }
+
+        @Override
+        protected void ended() { }
+    }
+}
--- a/src/main/java/terndyke/lab/standin/StandInNode.java
+++ b/src/main/java/terndyke/lab/standin/StandInNode.java
@@ -35,13 +35,13 @@
     /** What it does wrong. */
     public enum Fault {
         NONE,
-        /** Rule 1: every tenth record is forgotten once its client has its 202. */
+        /** Rule 1: every tenth record without a key is forgotten once its client has its 202. */
         LOSES,
         /** Rule 2: what ended in an error is sent again, whatever its effect. */
         REPEATS,
         /** Rule 3: states in the list are passed over. */
         IGNORES_DRAINS,
-        /** Rule 4: what failed is sent again at once, and then twenty times as fast. */
+        /** Rule 4: it goes back to a receiver that failed with all that it holds. */
         PUSHES,
         /** Rule 5: records of a key go as they come. */
         DISORDERS,
@@ -53,6 +53,7 @@
     private static final byte[] NOTHING = new byte[0];
     private static final long REST = 250_000;
     private static final long CALL = 1_500_000;
+    private static final long WARM = 4_000_000;
 
     private final InetSocketAddress listen;
     private final Net net;
@@ -80,6 +81,7 @@
         int destination;
         boolean active;
         long restUntil;
+        long failedAt = Long.MIN_VALUE / 2;
     }
 
     private static final class Owed {
@@ -187,7 +189,7 @@
 
     private void taken(Owed owed) {
         taken++;
-        if (fault == Fault.LOSES && taken % 10 == 0) {
+        if (fault == Fault.LOSES && taken % 10 == 0 && owed.key == null) {
             return;
         }
         if (inOrder[owed.grade] && owed.key != null && fault != Fault.DISORDERS) {
@@ -217,6 +219,7 @@
             return;
         }
         out++;
+        pace(endpoint, now);
         net.connect(endpoint.address, 500_000, session -> new Shot(session, owed, endpoint), () -> {
             synchronized (this) {
                 out--;
@@ -227,7 +230,13 @@
     }
 
     private void rest(Endpoint endpoint, long now) {
-        if (fault != Fault.PUSHES) {
+        endpoint.restUntil = now + REST;
+        endpoint.failedAt = now;
+    }
+
+    /** After a failure a receiver gets a call now and then until it has warmed up. */
+    private void pace(Endpoint endpoint, long now) {
+        if (now < endpoint.failedAt + WARM && fault != Fault.PUSHES) {
             endpoint.restUntil = now + REST;
         }
     }
@@ -346,7 +355,7 @@
                         } else {
                             rest(endpoint, now);
                         }
-                        ticker.at(now + (fault == Fault.PUSHES ? 5_000 : 50_000), () -> go(owed));
+                        ticker.at(now + 50_000, () -> go(owed));
                     }
                     default -> failed();
                 }
@@ -358,7 +367,7 @@
             owed.mayHaveRun = true;
             owed.hall = endpoint.hall;
             rest(endpoint, Ticker.now());
-            ticker.at(Ticker.now() + (fault == Fault.PUSHES ? 5_000 : 150_000), () -> go(owed));
+            ticker.at(Ticker.now() + 150_000, () -> go(owed));
         }
 
         @Override
--- /dev/null
+++ b/src/test/java/terndyke/lab/plan/ExperimentFileTest.java
@@ -0,0 +1,66 @@
+package terndyke.lab.plan;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+class ExperimentFileTest {
+    static final String SOUND = """
+            name: day
+            about: a day
+            length: 4s
+            grades:
+              - {name: status, effect: idempotent, target: 1s, abandon: 3s}
+              - {name: order, effect: deduplicated, target: 1s, abandon: 3s, inOrder: true}
+            destinations:
+              - {kind: shop, count: 2}
+            failures:
+              - {kind: hang, at: 1s, for: 500ms, on: {hall: west}}
+            """;
+
+    private static List<String> faults(String text) {
+        return assertThrows(BadInput.class, () -> ExperimentFile.read("day.yaml", text)).faults();
+    }
+
+    @Test
+    void aSoundFileIsReadAndWrittenWhole() throws BadInput {
+        Experiment day = ExperimentFile.read("day.yaml", SOUND);
+        assertEquals(4_000_000, day.length().micros());
+        assertEquals(Experiment.Effect.DEDUPLICATED, day.grades().get(1).effect());
+        assertEquals(Failure.Kind.HANG, day.failures().get(0).kind());
+        assertEquals(500_000, day.failures().get(0).lasts().micros());
+        assertEquals(day, ExperimentFile.read("again", ExperimentFile.write(day)));
+    }
+
+    @Test
+    void everyFaultIsNamedWithItsLineAtOnce() {
+        List<String> faults = faults(SOUND.replace("length: 4s", "lenght: 4s").replace("count: 2", "count: two")
+                .replace("effect: idempotent", "effect: harmless").replace("for: 500ms", "for: soon")
+                .replace("target: 1s, abandon: 3s}\n", "abandon: 3s}\n"));
+        assertEquals(5, faults.size(), faults.toString());
+        assertTrue(faults.get(0).startsWith("day.yaml:3: lenght: unknown field; nearest known: length"), faults.get(0));
+        assertTrue(faults.stream().anyMatch(fault -> fault.startsWith("day.yaml:5: grades.0.effect: found \"harmless\"")));
+        assertTrue(faults.stream().anyMatch(fault -> fault.startsWith("day.yaml:5: grades.0.target: is missing")));
+        assertTrue(faults.stream().anyMatch(fault -> fault.startsWith("day.yaml:8: destinations.0.count: found string")));
+        assertTrue(faults.stream().anyMatch(fault -> fault.startsWith("day.yaml:10: failures.0.for: found \"soon\"")));
+    }
+
+    @Test
+    void whatDoesNotHoldTogetherIsNamedToo() {
+        List<String> faults = faults(SOUND.replace("hall: west", "hall: moon").replace("target: 1s, abandon: 3s, inOrder",
+                "target: 9s, abandon: 3s, inOrder").replace("count: 2}", "count: 2, limit: {rate: 2, count: 3}}"));
+        assertEquals(3, faults.size(), faults.toString());
+        assertTrue(faults.get(0).contains("grades.1.target: target 9s is after abandon 3s"), faults.get(0));
+    }
+
+    @Test
+    void whatIsNoYamlAtAllIsOneFault() {
+        for (String text : List.of("", "- 1", "name: [", "\t", "\u0000", "name: day\nname: {", "{}")) {
+            assertTrue(!faults(text).isEmpty(), text);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/terndyke/lab/standin/StandInDayTest.java
@@ -0,0 +1,63 @@
+package terndyke.lab.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import terndyke.lab.plan.Experiment;
+import terndyke.lab.plan.ExperimentFile;
+import terndyke.lab.referee.Breach;
+import terndyke.lab.run.Day;
+import terndyke.lab.run.Outcome;
+import terndyke.lab.standin.StandInNode.Fault;
+
+/** The referee on sockets: a node that breaks just one rule is found, one that keeps them all is not blamed. */
+class StandInDayTest {
+    private static final String DAY = """
+            name: proving
+            about: a little of everything that a rule is about
+            length: 4500ms
+            settle: 200ms
+            late: 5s
+            nodes: {count: 2}
+            grades:
+              - {name: status, effect: idempotent, target: 1s, abandon: 2s, share: 0.4}
+              - {name: order, effect: deduplicated, target: 1s, abandon: 2s, share: 0.4, inOrder: true, window: 4s}
+              - {name: payment, effect: unrepeatable, target: 1s, abandon: 2s, share: 0.2}
+            destinations:
+              - {kind: plain, count: 3, cold: {share: 0.2, warm: 3s, fallMultiple: 1, fallWithin: 500ms}, places: 2}
+              - kind: limited
+                count: 2
+                limit: {rate: 10, burst: 4, tellsWait: 1, wait: 700ms}
+            list: {delay: 50ms}
+            load: {rate: 90, keys: 12}
+            failures:
+              - {kind: errors, at: 500ms, for: 2s, amount: 0.15, on: {destinations: [1]}}
+              - {kind: drain, at: 400ms, for: 1s, on: {destinations: [2], receivers: [0]}}
+              - {kind: crash, at: 1s, for: 2s, on: {destinations: [0]}}
+            """;
+
+    @TempDir
+    Path folder;
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void justThatRuleIsFoundBroken(Fault fault) throws Exception {
+        Experiment day = ExperimentFile.read("proving", DAY);
+        Outcome outcome = new Day(day, folder, null, fault, new PrintStream(PrintStream.nullOutputStream())).play();
+        assertNull(outcome.voided());
+        List<Integer> broken = outcome.breaches().stream().map(Breach::rule).distinct().sorted().toList();
+        int rule = fault.ordinal(); // faults stand in the order of the rules they break
+        assertEquals(rule == 0 ? List.of() : List.of(rule), broken, () -> outcome.breaches().get(0).toString());
+        assertEquals(rule == 0 ? 0 : 1, outcome.status());
+        assertTrue(outcome.offered() > 300);
+    }
+}
