--- a/src/main/java/terndyke/lab/load/Clients.java
+++ b/src/main/java/terndyke/lab/load/Clients.java
@@ -396,6 +396,7 @@
                 return side;
             }, () -> {
                 connections[node].decrementAndGet();
+                logbook.add(Sight.client(Ticker.now(), What.CLIENT_LEFT, handed, 0, "its second connection never came up"));
                 later(one, "again", 0);
             });
         }
