Nobody hears that a record is taken unless it is that very record; both refused in one turn

Cause: a repeat was known by its id alone (Admit.repeat). A bad client that hands in another one's open id with its own key and body, and comes first, made the usual client hear 202 for a record that was not its own: that content was nowhere, and later records of its key went by. It may turn away a client that alters what it repeats.

--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -8,8 +8,8 @@
 
 /** What limits, waits, falls and returns as one: a route where routes are apart, else a whole destination. */
 final class Destination {
-    private static final double CAUTION = 0.9, LISTED_HIGH = 1.5; // part of a cold budget used; a list's excess
-    private static final long REST = 100_000; // a first rest for each node, spread lest all come back at once
+    private static final double CAUTION = 0.9, LISTED_HIGH = 1.5; // of a cold budget; a list's excess
+    private static final long REST = 100_000; // a first rest for each node, lest all come back at once
 
     final List<Route> routes = new ArrayList<>();
     double listedRate, limitTold; // calls a second, as listed and as reported
@@ -18,7 +18,7 @@
     private final Consumer<String> log;
     final List<Call> out = new ArrayList<>();
     private int fine, failed, refusedInRow, failedInRow; // calls that ended so; the first two halved at times
-    /** Calls done in about a span, now and surely at best; the learned pace in calls a second, its allowance. */
+    /** Calls done in about a span, now and at best; the learned pace in calls a second, its allowance. */
     private double served, best, pace = Double.POSITIVE_INFINITY, credit = 1;
     /** When a call was last done or failed, an outage suspected, its end seen; or -1. */
     private long creditAt, paceAt, okAt = -1, failedAt = -1, suspectAt = -1, cleanAt = -1;
@@ -58,7 +58,7 @@
                 : Math.max(listedRate / LISTED_HIGH / terms.nodes(), 1e6 * best / terms.fallSpan());
     }
 
-    /** Rule 4: this node's part of a cold destination's calls a second; two a warm-up, one a span are safe. */
+    /** Rule 4: this node's part of a cold destination's calls a second; two a warm-up, one a span. */
     private double returnRate(long now) {
         double warm = cleanAt < 0 ? 0 : Math.min(1, (double) (now - cleanAt) / terms.coldFor());
         double share = terms.coldShare() + (1 - terms.coldShare()) * warm;
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -31,8 +31,9 @@
 
     /** Rule 2: may another shot go by this route now, once the given one out, if any, is recalled? */
     boolean permits(Route route, long now, DeliveryTerms terms, Shot recalled) {
-        return !over && shots.size() < terms.shotsPerRecord() && now < repeatBy(terms) && shots.stream().noneMatch(
-                shot -> shot.ending == null && shot != recalled && (!terms.copies() || shot.call.route == route)
+        return !over && shots.size() < terms.shotsPerRecord() && now < repeatBy(terms)
+                && shots.stream().noneMatch(shot -> shot.ending == null && shot != recalled
+                && (!terms.copies() || shot.call.route == route)
                 || shot.mayHaveRun() && shot.call.route.zone != route.zone
                 && grade.effect() == Effect.DEDUPLICATED && !grade.anyEndpointDeduplicates());
     }
--- a/src/main/java/terndyke/node/stage/Admit.java
+++ b/src/main/java/terndyke/node/stage/Admit.java
@@ -26,12 +26,21 @@
         leaving = true;
     }
 
-    /** True where the record goes on to the next stage; otherwise it has had its answer. */
+    /**
+     * True where the record goes on to the next stage; otherwise it has had its answer. Nobody is told that a record is
+     * taken on unless it is that very record. Guards against clients that hand in another one's open id with a content
+     * of their own: where theirs comes first, the other one's record would be taken for theirs, be nowhere, and be
+     * overtaken by the later ones of its key (rules 1 and 5). It may turn away a client that alters what it repeats.
+     */
     boolean admit(Handover handover, long now) {
         Owed known = book.byId(handover.id());
         if (known != null) {
             counters.add(Count.REPEATS);
-            repeat(known, handover.answer());
+            if (known.holds(handover)) {
+                repeat(known, handover.answer());
+            } else { // another record under an id that is taken: it may come again under its own
+                handover.answer().refused(0);
+            }
         } else if (!catalogue.knows(handover.destination())) {
             counters.add(Count.MALFORMED);
             handover.answer().failed(400);
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -193,11 +193,20 @@
         }
     }
 
-    /** An id that was taken in this very turn is as owed as one that is booked: the second record is refused. */
+    /**
+     * An id that was taken in this very turn is as owed as one that is booked: the second record is refused. Where it is
+     * another record nobody knows whose id it is, and since nothing is owed yet both are refused.
+     */
     private void handed(Handover handover, long now) {
-        if (fresh.values().stream().anyMatch(owed -> owed.taken.id().equals(handover.id()))) {
+        Owed same = fresh.values().stream().filter(owed -> owed.taken.id().equals(handover.id())).findFirst().orElse(null);
+        if (same != null) {
             counters.add(Count.REPEATS);
             handover.answer().refused(0);
+            if (!same.holds(handover)) {
+                fresh.remove(same.taken.number());
+                relay.refused(same, 0);
+                route.tell(new Event.RecordWithdrawn(same.taken.number()));
+            }
         } else if (admit.admit(handover, now)) {
             Owed owed = takeIn.take(handover);
             fresh.put(owed.taken.number(), owed);
--- a/src/main/java/terndyke/node/stage/Owed.java
+++ b/src/main/java/terndyke/node/stage/Owed.java
@@ -1,7 +1,9 @@
 package terndyke.node.stage;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import java.util.Objects;
 
 import terndyke.api.Ending;
 import terndyke.node.http.Calls;
@@ -45,6 +47,13 @@
         this.answer = answer;
     }
 
+    /** Whether this is that very record: an id alone does not say so. Of one that is over, the body is gone. */
+    boolean holds(Handover handover) {
+        return taken.grade() == handover.grade() && taken.tenant() == handover.tenant() && taken.key() == handover.key()
+                && taken.destination() == handover.destination() && (!open()
+                || Objects.equals(taken.mark(), handover.mark()) && Arrays.equals(taken.body(), handover.body()));
+    }
+
     void dropBody() {
         taken = new Entry.Taken(taken.number(), taken.id(), taken.grade(), taken.tenant(), taken.key(),
                 taken.destination(), null, taken.takenAt(), taken.abandonAt(), new byte[0]);
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -440,6 +440,51 @@
         reactor.close();
     }
 
+    /** A whole desk that is given records before its first turn: what each client hears. */
+    private List<String> oneTurn(Handover... records) throws Exception {
+        Charter charter = Charter.read(charter(3, 1024).getBytes(StandardCharsets.UTF_8),
+                new Charter.Place("file", null, null, null, folder.toString()));
+        NodeLog log = new NodeLog(new PrintStream(PrintStream.nullOutputStream()), "test");
+        Counters counters = new Counters();
+        Reactor reactor = new Reactor(charter.limits(), counters, log);
+        Catalogue catalogue = new Catalogue(charter.zones(), charter.kinds());
+        catalogue.take(charter.known(), 0, new ArrayList<>());
+        Book book = new Book(Journal.open(folder, charter.limits().journalBytes(), log, new ArrayList<>()), charter.limits(),
+                counters, log);
+        Desk desk = new Desk(charter, reactor, catalogue, book, new NodeClock(), counters, log);
+        reactor.start();
+        for (Handover record : records) {
+            assertTrue(desk.handOver(record));
+        }
+        desk.post(new Word.Leave());
+        Thread thread = new Thread(desk);
+        thread.start();
+        thread.join(PATIENCE.toMillis());
+        reactor.close();
+        return heard;
+    }
+
+    private final List<String> heard = java.util.Collections.synchronizedList(new ArrayList<>());
+
+    private Handover record(String who, long key, String body) {
+        Handover.Answer answer = (Handover.Answer) java.lang.reflect.Proxy.newProxyInstance(getClass().getClassLoader(),
+                new Class<?>[] {Handover.Answer.class}, (self, method, given) -> {
+                    heard.add(who + " " + method.getName());
+                    return null;
+                });
+        return new Handover("r-1", 0, 0, key, 3, null, 4_000_000, false, false, body.getBytes(StandardCharsets.UTF_8),
+                new NodeClock().now(), answer);
+    }
+
+    @Test
+    void twoRecordsUnderOneIdInOneTurnAreBothRefusedAndTheSameOneTwiceIsNot() throws Exception {
+        assertEquals(List.of("usual refused", "bad refused"), oneTurn(record("bad", 7, ""),
+                record("usual", 9, "body")).stream().sorted(java.util.Comparator.reverseOrder()).toList());
+        heard.clear();
+        assertEquals(List.of("again refused", "usual taken"), oneTurn(record("usual", 9, "body"),
+                record("again", 9, "body")).stream().sorted().toList());
+    }
+
     @Test
     void aKilledNodeStillOwesWhatItTookOnUnderEachEffect() throws Exception {
         verdict = call -> SILENT;
--- a/src/test/java/terndyke/node/stage/StageTest.java
+++ b/src/test/java/terndyke/node/stage/StageTest.java
@@ -105,6 +105,20 @@
         assertEquals(List.of(), answers);
     }
 
+    @Test
+    void anotherRecordUnderATakenIdIsNotToldThatItIsTaken() {
+        booked("r");
+        assertFalse(admit.admit(handover("r", 3, 10, NOW), NOW));
+        assertFalse(admit.admit(handover("r", 3, 0, NOW), NOW));
+        Owed over = booked("s");
+        book.ended(over, Entry.End.DONE, 0);
+        Handover told = handover("s", 3, 10, NOW);
+        assertFalse(admit.admit(told, NOW));
+        assertFalse(admit.admit(new Handover("s", 0, 0, 8, 3, null, 5_000_000, false, false, new byte[10], NOW,
+                told.answer()), NOW));
+        assertEquals(List.of("taken", "refused 0", "delivered", "refused 0"), answers);
+    }
+
     @Test
     void anUnknownDestinationFails() {
         assertFalse(admit.admit(handover("r", 4, 10, NOW), NOW));
