--- a/src/main/java/terndyke/lab/report/Plots.java
+++ b/src/main/java/terndyke/lab/report/Plots.java
@@ -23,11 +23,14 @@
 
 /** Draws a day's plots, with the failures shaded. */
 final class Plots {
+    private static final Color[] LINES = {new Color(0x4477aa), new Color(0x228833), new Color(0xcc8800), new Color(0xaa3377),
+        new Color(0x66ccee), new Color(0x555555), new Color(0xee6677), new Color(0x999933)};
     private static final Color SHADE = new Color(200, 60, 60, 28);
 
     private final Outcome outcome;
     private final Summary summary;
     private final int seconds;
+    private int lines;
 
     Plots(Outcome outcome, Summary summary) {
         this.outcome = outcome;
@@ -54,9 +57,11 @@
         XYSeries series = chart.addSeries(name, x, y);
         series.setMarker(SeriesMarkers.NONE);
         series.setLineWidth(1.6f);
+        series.setLineColor(LINES[lines++ % LINES.length]);
     }
 
     private void shade(XYChart chart, double top) {
+        lines = 0;
         int number = 0;
         for (Failure failure : outcome.day().failures()) {
             double from = failure.at().seconds();
--- a/src/main/java/terndyke/lab/standin/PlainReceiver.java
+++ b/src/main/java/terndyke/lab/standin/PlainReceiver.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.function.LongUnaryOperator;
 
+import org.HdrHistogram.Histogram;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ListenerEndpoint;
@@ -20,6 +21,7 @@
     private final ListenerEndpoint listener;
     private final LongUnaryOperator answerAt;
     private final Ticker ticker;
+    private final Histogram gave = new Histogram(1, 600_000_000L, 3);
 
     /** @param answerAt when a request that came at a time is answered, both in microseconds; the same time is at once */
     public PlainReceiver(InetSocketAddress address, Net net, Ticker ticker, LongUnaryOperator answerAt) throws IOException {
@@ -28,6 +30,13 @@
         listener = net.listen(address, Side::new);
     }
 
+    /** How long it really took from a request's last byte to its answer, in microseconds: no clock is exact. */
+    public Histogram gave() {
+        synchronized (gave) {
+            return gave.copy();
+        }
+    }
+
     @Override
     public void close() {
         listener.close(CloseMode.IMMEDIATE);
@@ -45,8 +54,15 @@
             if (at <= now) {
                 write(DONE);
             } else {
-                ticker.at(at, () -> write(DONE));
+                ticker.at(at, () -> answer(now));
+            }
+        }
+
+        private void answer(long came) {
+            synchronized (gave) {
+                gave.recordValue(Math.max(1, Ticker.now() - came));
             }
+            write(DONE);
         }
 
         @Override
