--- a/src/main/java/terndyke/lab/emulate/Host.java
+++ b/src/main/java/terndyke/lab/emulate/Host.java
@@ -308,15 +308,19 @@
                 Shot shot = new Shot(id, message.field("idempotency-key"), node, this, !served);
                 served = true;
                 out = new Out(number, shot);
-                see(What.CALL, 0, 0, beganAt);
+                see(What.CALL, 0, 0, beganAt, Integer.toString(message.body().length));
                 mine.arrived(Ticker.now(), shot);
                 arm();
             }
         }
 
         private void see(What what, int status, long toldWait, long began) {
+            see(what, status, toldWait, began, null);
+        }
+
+        private void see(What what, int status, long toldWait, long began, String note) {
             logbook.add(new Sight(Ticker.now(), what, node, out.shot.id(), out.number, mine.uid(), mine.site().number(),
-                    mine.hall(), status, toldWait, began, null, null));
+                    mine.hall(), status, toldWait, began, note, null));
         }
 
         private void answer(Answer answer) {
--- a/src/main/java/terndyke/lab/load/Clients.java
+++ b/src/main/java/terndyke/lab/load/Clients.java
@@ -31,6 +31,7 @@
  * connections are kept, and more are opened when all are busy.
  */
 public final class Clients {
+    private static final long FOREIGN_AHEAD = 3_000;
     private static final long CROSSING = 50_000; // a closing may cross a request for so long
     private static final String BODY = "x".repeat(1 << 16);
 
@@ -46,6 +47,8 @@
     private final UniformRandomProvider ids;
     private final Histogram fromDue = new Histogram(1, 600_000_000L, 3);
     private final Histogram fromSent = new Histogram(1, 600_000_000L, 3);
+    private Intruders intruders;
+    private double foreignShare;
     private int open;
     private int taken;
     private int refused;
@@ -144,6 +147,16 @@
         return fromSent;
     }
 
+    /** While it is above 0, that share of the records is preceded by a foreign request under their id. */
+    public synchronized void foreign(Intruders sends, double share) {
+        intruders = sends;
+        foreignShare = share;
+    }
+
+    private synchronized boolean precededByForeign() {
+        return foreignShare > 0 && ids.nextDouble() < foreignShare;
+    }
+
     /** A message is due. Extra ones, such as a flood's, count in the rules and not in the result. */
     public void due(int message, Arrival arrival, long due, boolean extra) {
         Hand hand = new Hand(message, arrival, due, extra);
@@ -251,7 +264,7 @@
             super(session);
             this.node = node;
             this.hand = hand;
-            handed = new Handed(id, 0, node, 0, 0, null, 0, null, 0, 0, 0, false);
+            handed = new Handed(id, 0, node, 0, 0, null, 0, null, 0, 0, 0, 0, false);
         }
 
         @Override
@@ -265,14 +278,21 @@
             long left = Math.max(1, one.ends() - now);
             boolean marked = one.terms().effect() == Effect.DEDUPLICATED;
             Handed out = new Handed(id, one.message, node, one.grade, one.tenant, one.arrival.key(),
-                    one.arrival.destination(), marked ? mark(one.message) : null, one.due, now, left / 1000 * 1000, one.extra);
+                    one.arrival.destination(), marked ? mark(one.message) : null, one.due, now, left / 1000 * 1000,
+                    one.arrival.bytes(), one.extra);
             synchronized (this) {
                 hand = one;
                 handed = out;
                 asked++;
             }
             logbook.add(Sight.client(now, What.HANDED_IN, out, 0, one.retry));
-            write(request(one, out));
+            if (!one.extra && precededByForeign()) {
+                logbook.add(Sight.client(now, What.FOREIGN, out, 0, null));
+                intruders.foreign(node, id, one.arrival);
+                ticker.at(now + FOREIGN_AHEAD, () -> write(request(one, out)));
+            } else {
+                write(request(one, out));
+            }
             long number = asked;
             ticker.at(now + day.clients().patience().micros(), () -> waitedEnough(number));
         }
--- a/src/main/java/terndyke/lab/load/Intruders.java
+++ b/src/main/java/terndyke/lab/load/Intruders.java
@@ -50,6 +50,7 @@
                         }
                     }
                     case GARBAGE -> spoil(node, Math.round(1e6 / failure.amount()), until);
+                    case HUGE -> huge(node, Math.round(1e6 / failure.amount()), until);
                     default -> { }
                 }
             }
@@ -75,6 +76,61 @@
         }
     }
 
+    private void huge(int node, long every, long until) {
+        long now = Ticker.now();
+        if (now < until) {
+            net.connect(nodes.get(node), 1_000_000, Giant::new, () -> { });
+            ticker.at(now + every, () -> huge(node, every, until));
+        }
+    }
+
+    /** Hands in a foreign record under an id that belongs to another client; nobody reads what it is told. */
+    void foreign(int node, String id, Arrival owner) {
+        String head = "POST /" + owner.grade() + " HTTP/1.1\r\nHost: app.svc\r\nRequest-Id: " + id + "\r\nTenant: "
+                + owner.tenant() + "\r\nRequest-Timeout-Ms: 2000\r\nX-Consignee: dest=" + owner.destination()
+                + "\r\nCookie: key=foreign" + id + "\r\nContent-Length: 0\r\n\r\n";
+        net.connect(nodes.get(node), 1_000_000, session -> new Spoiler(session, head), () -> { });
+    }
+
+    /** A connection that sends a body far beyond every limit, as fast as it is read. */
+    private final class Giant extends Link {
+        private static final int SIZE = 60_000_000;
+        private static final byte[] PART = new byte[64 << 10];
+        private int sent;
+
+        Giant(IOSession session) {
+            super(session);
+        }
+
+        @Override
+        protected void opened() {
+            write(("POST /" + grade + " HTTP/1.1\r\nHost: app.svc\r\nContent-Length: " + SIZE + "\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            goOn();
+        }
+
+        private void goOn() {
+            for (int i = 0; i < 8 && isOpen() && unsent() == 0 && sent < SIZE; i++) {
+                write(PART);
+                sent += PART.length;
+            }
+            if (isOpen() && sent < SIZE) {
+                ticker.at(Ticker.now() + 2_000, this::goOn);
+            } else {
+                close();
+            }
+        }
+
+        @Override
+        protected void came(Message message) { }
+
+        @Override
+        protected void unreadable(String why) { }
+
+        @Override
+        protected void ended() { }
+    }
+
     /** A connection that hands in half a request, byte by byte, or nothing. */
     private final class Lingerer extends Link {
         private final Failure failure;
--- a/src/main/java/terndyke/lab/plan/Failure.java
+++ b/src/main/java/terndyke/lab/plan/Failure.java
@@ -72,7 +72,11 @@
         /** So many requests a second beyond the schedule, each on a connection of its own. */
         @JsonProperty("flood") FLOOD(Side.CLIENT, 200),
         /** So many requests a second that cannot be read. */
-        @JsonProperty("garbage") GARBAGE(Side.CLIENT, 50);
+        @JsonProperty("garbage") GARBAGE(Side.CLIENT, 50),
+        /** A share of the clients' records is preceded by a foreign request under the same id with its own content. */
+        @JsonProperty("foreign-ids") FOREIGN_IDS(Side.CLIENT, 0.05),
+        /** So many requests a second with a body of 60 MB. */
+        @JsonProperty("huge") HUGE(Side.CLIENT, 2);
 
         private final Side side;
         private final double amount;
--- a/src/main/java/terndyke/lab/referee/Logbook.java
+++ b/src/main/java/terndyke/lab/referee/Logbook.java
@@ -32,7 +32,7 @@
     private Handed since(Handed told) {
         return told == null ? null : new Handed(told.id(), told.message(), told.node(), told.grade(), told.tenant(),
                 told.key(), told.destination(), told.mark(), told.due() - start, told.sent() - start, told.timeout(),
-                told.extra());
+                told.bytes(), told.extra());
     }
 
     /** All of them by time; what was seen together stays in the order of its coming. */
--- a/src/main/java/terndyke/lab/referee/Referee.java
+++ b/src/main/java/terndyke/lab/referee/Referee.java
@@ -60,6 +60,7 @@
         }
         switch (sight.what()) {
             case HANDED_IN -> handedIn(sight);
+            case FOREIGN -> story.foreign = true;
             case ANSWERED -> answered(sight, story);
             case CLIENT_LEFT -> story.leftAt = sight.at();
             case BROKEN -> broken(sight, story);
@@ -151,8 +152,14 @@
             breach(1, sight, story, "sent to destination " + sight.destination() + ", it is for "
                     + story.handed.destination());
         }
-        mayItGo(sight, story);
-        isItTheTurn(sight, story);
+        boolean others = sight.note() != null && !sight.note().equals(Integer.toString(story.handed.bytes()));
+        if (others && !story.foreign) {
+            breach(1, sight, story, "sent with another content: " + sight.note() + " bytes, handed in with "
+                    + story.handed.bytes());
+        } else if (!others) {
+            mayItGo(sight, story);
+            isItTheTurn(sight, story);
+        }
         Long since = unwanted.get(sight.node() + "/" + sight.uid());
         if (since != null && sight.began() > since + rules.stopWithin() + rules.slack()) {
             breach(3, sight, story, String.format("sent to %s %.3f s after the node was told that it takes nothing new",
@@ -165,7 +172,11 @@
             breach(6, sight, story, String.format("sent %.3f s before the end of a wait of %.3f s that %s told",
                     (rest.until - sight.began()) / 1e6, (rest.until - rest.from) / 1e6, rest.by));
         }
-        story.calls.add(call);
+        if (others) {
+            calls.remove(sight.call()); // of the foreign record under this id: it delivers nothing of its client's
+        } else {
+            story.calls.add(call);
+        }
     }
 
     /** Rules 1 and 2 at a shot. */
@@ -223,7 +234,7 @@
     private void callAnswered(Sight sight) {
         Call call = calls.get(sight.call());
         Story story = storyOfCall.get(sight.call());
-        if (call != null) {
+        if (call != null && story != null) {
             call.answeredAt = sight.at();
             call.status = sight.status();
             if (sight.status() == 200 && story.deliveredAt < 0) {
@@ -241,7 +252,7 @@
     }
 
     private void ran(Sight sight, Story story) {
-        if (story == null) {
+        if (story == null || story.foreign) { // whose it was is not seen here
             return;
         }
         story.runs++;
--- a/src/main/java/terndyke/lab/referee/Sight.java
+++ b/src/main/java/terndyke/lab/referee/Sight.java
@@ -14,6 +14,8 @@
     public enum What {
         /** A client wrote the last byte of a record. */
         HANDED_IN,
+        /** A foreign request under the id of this record went ahead of it. */
+        FOREIGN,
         /** A client read an answer; the status tells which. */
         ANSWERED,
         /** A client waited no longer and closed. */
@@ -22,7 +24,7 @@
         BROKEN,
         /** The same request goes once more on a new connection, since the closing crossed it. */
         SENT_ONCE_MORE,
-        /** A call came to its last byte; began tells the time of its first. */
+        /** A call came to its last byte; began tells the time of its first, the note how many bytes its body has. */
         CALL,
         /** The first line of an answer was written; status 0 where it cannot be read. */
         CALL_ANSWERED,
--- a/src/main/java/terndyke/lab/referee/Story.java
+++ b/src/main/java/terndyke/lab/referee/Story.java
@@ -17,6 +17,7 @@
     long noticeAt = -1;
     long refusedNoticeAt = -1; // when one first came that the platform did not take
     String notice;
+    boolean foreign; // somebody else used its id
     int runs; // effects that no hall dropped
 
     /** One call of a record, as its receiver saw it. */
--- a/src/main/java/terndyke/lab/run/Day.java
+++ b/src/main/java/terndyke/lab/run/Day.java
@@ -267,6 +267,9 @@
                 }
             } else if (failure.kind().side() == Side.CLIENT) {
                 intruders.begin(failure, start + failure.until());
+                if (failure.kind() == Kind.FOREIGN_IDS) {
+                    clients.foreign(intruders, failure.amount());
+                }
             } else {
                 emulator.begin(failure);
             }
@@ -274,6 +277,8 @@
         ticker.at(start + failure.until(), () -> {
             if (failure.kind().side() == Side.RECEIVER || failure.kind().side() == Side.DISCOVERY) {
                 emulator.end(failure);
+            } else if (failure.kind() == Kind.FOREIGN_IDS) {
+                clients.foreign(intruders, 0);
             }
             underWay(-1);
         });
--- a/src/test/java/terndyke/lab/referee/RefereeTest.java
+++ b/src/test/java/terndyke/lab/referee/RefereeTest.java
@@ -34,7 +34,7 @@
     }
 
     private void handIn(long at, String id, int grade, int answer) {
-        Handed handed = new Handed(id, id.hashCode(), 0, grade, 0, grade == ORDER ? "k" : null, 0, "m-" + id, at, at, 4 * S,
+        Handed handed = new Handed(id, id.hashCode(), 0, grade, 0, grade == ORDER ? "k" : null, 0, "m-" + id, at, at, 4 * S, 0,
                 false);
         day.add(Sight.client(at, What.HANDED_IN, handed, 0, null));
         if (answer != 0) {
@@ -252,6 +252,20 @@
         assertEquals(List.of(), judge(), "a restart ends the wait");
     }
 
+    @Test
+    void aForeignRecordUnderAnIdDeliversNothingOfItsClients() {
+        for (int answer : new int[] {202, 503}) {
+            day.clear();
+            handIn(S, "a", PAYMENT, answer);
+            day.add(Sight.client(S, What.FOREIGN, day.get(0).handed(), 0, null));
+            day.add(new Sight(S + 5_000, What.CALL, 0, "a", 1, "s-0", 0, 0, 0, 0, S + 4_500, "99", null));
+            day.add(new Sight(S + 9_000, What.CALL_ANSWERED, 0, "a", 1, "s-0", 0, 0, 200, 0, 0, null, null));
+            assertEquals(answer == 202 ? List.of(1) : List.of(), judge());
+        }
+        day.removeIf(sight -> sight.what() == What.FOREIGN);
+        assertEquals(List.of(1), judge(), "nobody handed in that content");
+    }
+
     @Test
     void aCrashAndAnOwedAnswerAreBreachesOfTheFirstRule() {
         node(S, What.NODE_CRASHED);
