--- a/src/main/java/terndyke/lab/emulate/Agent.java
+++ b/src/main/java/terndyke/lab/emulate/Agent.java
@@ -6,13 +6,17 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
+import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
+import org.apache.hc.core5.reactor.ListenerEndpoint;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -43,7 +47,12 @@
     private static final byte[] NOTHING = new byte[0];
 
     private final int node;
-    private final InetSocketAddress address;
+    private static final long LINGERS = 1_500_000; // at an address that it has left, for those who are connected
+
+    private final Net net;
+    private InetSocketAddress address;
+    private ListenerEndpoint listener;
+    private final Set<Side> sides = new HashSet<>();
     private final Logbook logbook;
     private final Ticker ticker;
     private final long delay;
@@ -60,17 +69,32 @@
 
     Agent(int node, InetSocketAddress address, Net net, Logbook logbook, Ticker ticker, long delay) throws IOException {
         this.node = node;
+        this.net = net;
         this.address = address;
         this.logbook = logbook;
         this.ticker = ticker;
         this.delay = delay;
-        net.listen(address, Side::new);
+        listener = net.listen(address, Side::new);
     }
 
-    public InetSocketAddress address() {
+    public synchronized InetSocketAddress address() {
         return address;
     }
 
+    /** Moves to another address: nobody new is served at the old one, and who is connected there not for long. */
+    public void move() throws IOException {
+        InetSocketAddress next = Net.free(address().getAddress().getHostAddress());
+        ListenerEndpoint opened = net.listen(next, Side::new);
+        List<Side> left;
+        synchronized (this) {
+            listener.close(CloseMode.IMMEDIATE);
+            listener = opened;
+            address = next;
+            left = List.copyOf(sides);
+        }
+        ticker.at(Ticker.now() + LINGERS, () -> left.forEach(Link::reset));
+    }
+
     /** How many notices have been answered. */
     public synchronized long notices() {
         return notices;
@@ -228,6 +252,13 @@
             super(session);
         }
 
+        @Override
+        protected void opened() {
+            synchronized (Agent.this) {
+                sides.add(this);
+            }
+        }
+
         void answer(int status, String body) {
             write(status == 204 ? "HTTP/1.1 204 No Content\r\n\r\n".getBytes(StandardCharsets.US_ASCII)
                     : Message.bytes("HTTP/1.1 " + status + " -", "", body.getBytes(StandardCharsets.UTF_8)));
@@ -253,6 +284,7 @@
         @Override
         protected void ended() {
             synchronized (Agent.this) {
+                sides.remove(this);
                 watchers.removeIf(watcher -> watcher.side == this);
             }
         }
--- a/src/main/java/terndyke/lab/plan/Failure.java
+++ b/src/main/java/terndyke/lab/plan/Failure.java
@@ -61,6 +61,8 @@
         @JsonProperty("restart") RESTART(Side.NODE, 0),
         /** SIGHUP; the amount is how many. */
         @JsonProperty("hangup") HANGUP(Side.NODE, 1),
+        /** Discovery moves to another address; the configuration is replaced and SIGHUP sent, so often within its time. */
+        @JsonProperty("reload") RELOAD(Side.NODE, 1),
         /** SIGSTOP, and SIGCONT once the time is over. */
         @JsonProperty("freeze") FREEZE(Side.NODE, 0),
         /** The node's folder is filled up to its limit by somebody else, and freed again. */
--- a/src/main/java/terndyke/lab/run/Day.java
+++ b/src/main/java/terndyke/lab/run/Day.java
@@ -258,7 +258,7 @@
                         int number = node;
                         underWay(1);
                         Thread thread = new Thread(() -> {
-                            strike(failure, number);
+                            strike(failure, number, emulator.agents().get(number));
                             underWay(-1);
                         }, "terndyke-lab-signals");
                         thread.setDaemon(true);
@@ -284,7 +284,7 @@
         });
     }
 
-    private void strike(Failure failure, int node) {
+    private void strike(Failure failure, int node, Agent agent) {
         Subject subject = nodes.get(node);
         try {
             synchronized (commands[node]) {
@@ -315,6 +315,15 @@
                             subject.signal("HUP");
                         }
                     }
+                    case RELOAD -> {
+                        int times = Math.max(1, (int) Math.round(failure.amount()));
+                        for (int i = 0; i < times && !ending; i++) {
+                            agent.move();
+                            subject.reconfigure();
+                            subject.signal("HUP");
+                            Thread.sleep(failure.lasts().millis() / times);
+                        }
+                    }
                     case FREEZE -> {
                         see(What.NODE_FROZEN, node, null);
                         subject.signal("STOP");
--- a/src/main/java/terndyke/lab/run/NodeProcess.java
+++ b/src/main/java/terndyke/lab/run/NodeProcess.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -57,10 +58,18 @@
         return listen;
     }
 
+    /** The new file takes the old one's place in one step, so that no reader sees half of it. */
+    @Override
+    public void reconfigure() throws IOException {
+        Path next = folder.resolve("config.next");
+        Files.writeString(next, file.get());
+        Files.move(next, folder.resolve("config.json"), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
     @Override
     public void start() throws IOException {
+        reconfigure();
         Path config = folder.resolve("config.json");
-        Files.writeString(config, file.get());
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(FLAGS);
         int jar = program.indexOf("-jar");
--- a/src/main/java/terndyke/lab/run/Subject.java
+++ b/src/main/java/terndyke/lab/run/Subject.java
@@ -23,6 +23,9 @@
     /** The process to measure; 0 where there is none. */
     long pid();
 
+    /** Writes its configuration anew, as it stands now. */
+    void reconfigure() throws IOException;
+
     /** Fills its folder up to the limit, or frees it again. */
     void fillDisk(boolean full) throws IOException;
 
--- a/src/main/java/terndyke/lab/standin/StandInNode.java
+++ b/src/main/java/terndyke/lab/standin/StandInNode.java
@@ -176,6 +176,9 @@
         return 0;
     }
 
+    @Override
+    public void reconfigure() { }
+
     @Override
     public void fillDisk(boolean full) { }
 
