--- a/src/main/java/terndyke/lab/Lab.java
+++ b/src/main/java/terndyke/lab/Lab.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.stream.Stream;
 
+import org.HdrHistogram.Histogram;
 import org.knowm.xchart.XYChart;
 
 import com.beust.jcommander.JCommander;
@@ -33,6 +34,7 @@
 import terndyke.lab.plan.Drawer;
 import terndyke.lab.plan.Experiment;
 import terndyke.lab.plan.ExperimentFile;
+import terndyke.lab.plan.Failure;
 import terndyke.lab.plan.Shrinker;
 import terndyke.lab.referee.Logbook;
 import terndyke.lab.report.Comparison;
@@ -353,13 +355,9 @@
             LoadTool.Run run = tool.run(arrivals, 5_000_000);
             out.printf("%d requests in %.1f s: %d answered, %d of them taken, %d broken, %d without an answer%n", run.offered(),
                     run.seconds(), run.answered(), run.taken(), run.broken(), run.unanswered());
-            for (Map.Entry<String, org.HdrHistogram.Histogram> one : Map.of("from due", run.fromDue(), "from sent",
-                    run.fromSent(), "the tool's lateness", run.lateness()).entrySet()) {
-                org.HdrHistogram.Histogram each = one.getValue();
-                out.printf("%s: p50 %.3f ms, p90 %.3f ms, p99 %.3f ms, p99.9 %.3f ms, max %.3f ms%n", one.getKey(),
-                        each.getValueAtPercentile(50) / 1e3, each.getValueAtPercentile(90) / 1e3,
-                        each.getValueAtPercentile(99) / 1e3, each.getValueAtPercentile(99.9) / 1e3, each.getMaxValue() / 1e3);
-            }
+            say("from due", run.fromDue());
+            say("from sent", run.fromSent());
+            say("the tool's lateness", run.lateness());
             if (run.lateness().getValueAtPercentile(99) > day.late().micros()) {
                 out.printf("void: the tool itself was late, %s allowed%n", day.late());
                 return VOID;
@@ -368,6 +366,12 @@
         }
     }
 
+    private void say(String what, Histogram times) {
+        out.printf("%s: p50 %.3f ms, p90 %.3f ms, p99 %.3f ms, p99.9 %.3f ms, max %.3f ms%n", what,
+                times.getValueAtPercentile(50) / 1e3, times.getValueAtPercentile(90) / 1e3,
+                times.getValueAtPercentile(99) / 1e3, times.getValueAtPercentile(99.9) / 1e3, times.getMaxValue() / 1e3);
+    }
+
     private int emulate(Emulate emulate) throws IOException, BadInput, InterruptedException {
         Experiment day = emulate.read();
         emulating = true;
@@ -385,8 +389,8 @@
             }
             out.println(emulator.receivers() + " receivers serve; failures count from now, an interrupt ends it");
             day.failures().forEach(failure -> {
-                if (failure.kind().side() == terndyke.lab.plan.Failure.Side.RECEIVER
-                        || failure.kind().side() == terndyke.lab.plan.Failure.Side.DISCOVERY) {
+                if (failure.kind().side() == Failure.Side.RECEIVER
+                        || failure.kind().side() == Failure.Side.DISCOVERY) {
                     failures.at(logbook.start() + failure.at().micros(), () -> emulator.begin(failure));
                     failures.at(logbook.start() + failure.until(), () -> emulator.end(failure));
                 }
