Watchdog: slow turns of the decision thread are told with what took the time

Each turn is measured by what it does; 100 ms or more is a log line, one a second at most, and the longest turn and wait stand in /_counters.

--- a/src/main/java/terndyke/lab/report/Comparison.java
+++ b/src/main/java/terndyke/lab/report/Comparison.java
@@ -68,9 +68,10 @@
     public String words() {
         double[] differences = differences();
         return String.format(Locale.ROOT, "%s: A %.3f (spread %.3f), B %.3f (spread %.3f), B - A %+.3f (spread %.3f), %s "
-                + "(p %.3f by means, %.3f by ranks, %d pairs)", figure, meanA(), deviation(a), meanB(), deviation(b),
+                + "(p %.3f by means%s, %d pairs)", figure, meanA(), deviation(a), meanB(), deviation(b),
                 mean(differences), deviation(differences), a.length < 3 ? "too few pairs to tell"
-                : moreThanNoise() ? "more than noise" : "no more than noise", chance(), chanceByRank(), a.length);
+                : moreThanNoise() ? "more than noise" : "no more than noise", chance(),
+                a.length < 5 ? "" : String.format(Locale.ROOT, ", %.3f by ranks", chanceByRank()), a.length);
     }
 
     /** For each figure that two lists of summaries share, in order. */
--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -12,7 +12,9 @@
         CLIENT_CONNECTIONS, TURNED_OUT, REQUESTS_IN, MALFORMED, TOO_LARGE, REFUSED_AT_DOOR, TAKEN, BOUNCED_AT_ONCE, REPEATS,
         WITHDRAWN, RESTORED, SHOTS, CONNECTIONS_OPENED, DONE, ERROR, FULL, TIMED_OUT, NOT_CONNECTED, RESET, RECALLED,
         NOT_SENT, PROBES, ENDED_DONE, ENDED_BOUNCED, ENDED_TERMINATED, NOTICES_SENT, NOTICES_ANSWERED, LISTS_TOLD,
-        JOURNAL_ENTRIES, JOURNAL_COMPACTIONS, JOURNAL_REFUSALS
+        JOURNAL_ENTRIES, JOURNAL_COMPACTIONS, JOURNAL_REFUSALS, SLOW_TURNS,
+        /** In microseconds: the longest turn of the decision thread, and the longest wait of a record for one. */
+        LONGEST_TURN, LONGEST_WAIT
     }
 
     private final Map<Count, AtomicLong> counts = new EnumMap<>(Count.class);
@@ -31,6 +33,14 @@
         counts.get(count).addAndGet(many);
     }
 
+    /** Keeps the largest figure. */
+    public void most(Count count, long figure) {
+        AtomicLong most = counts.get(count);
+        if (figure > most.get()) { // one thread writes it
+            most.set(figure);
+        }
+    }
+
     public long of(Count count) {
         return counts.get(count).get();
     }
--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -15,7 +15,8 @@
         long watchWait, long watchSlack, long resend, long unanswered, long probeTimeout, long unbooked,
         long longestRecord, long longestSleep, long selectEvery, long sweepEvery, long rememberFor,
         long rememberGone, int goneAtMost,
-        long startWithin, long rehearse, long leaveWithin, long leaveLast, long lastWords, long closeWithin) {
+        long startWithin, long rehearse, long leaveWithin, long leaveLast, long lastWords, long closeWithin,
+        long slowTurn, long slowLineEvery) {
 
     /** Shares out a machine's memory, descriptors and disk, with the terms' bounds on calls and records. */
     public static Limits shareOut(int memoryMb, int sockets, double diskMb, int slots, int holdingRoom,
@@ -33,6 +34,7 @@
                 2_000_000, 2_600_000, 3_000_000, 2_000_000, 2_100_000, 50_000, 8, 8 << 20, 350_000,
                 4_000_000, 1_500_000, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
-                60_000_000, 1024, 10_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000);
+                60_000_000, 1024, 10_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000,
+                100_000, 1_000_000);
     }
 }
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -18,6 +18,8 @@
 import terndyke.node.Limits;
 import terndyke.node.NodeClock;
 import terndyke.node.NodeLog;
+import terndyke.node.Watchdog;
+import terndyke.node.Watchdog.Doing;
 import terndyke.node.discovery.Catalogue;
 import terndyke.node.discovery.Watch;
 import terndyke.node.http.Call;
@@ -45,6 +47,7 @@
     private final Calls calls;
     private final Catalogue catalogue;
     private final Watch watch;
+    private final Watchdog watchdog;
     private final long keyRest;
     private final int grades;
     private long sweepAt;
@@ -61,6 +64,7 @@
         this.catalogue = catalogue;
         this.keyRest = charter.terms().keyRest();
         this.grades = charter.terms().grades().size();
+        watchdog = new Watchdog(limits.slowTurn(), limits.slowLineEvery(), counters);
         calls = new Calls(reactor, limits, counters, clock::now, line -> post(new Word.LineFree(line)));
         route = new Route(new Dispatcher(charter.terms()));
         takeIn = new TakeIn(book.lastNumber());
@@ -143,11 +147,14 @@
         long next = Math.min(timers.first(now + limits.longestSleep()), watch.keep(now));
         Word word = inbox.poll(route.due() ? 0 : Math.max(0, next - now), TimeUnit.MICROSECONDS);
         now = now();
+        watchdog.begin(now);
         for (int i = 0; word != null; i++) {
             take(word, now);
+            watchdog.did(Doing.WORDS, now());
             word = i < limits.wordsATurn() ? inbox.poll() : null;
         }
         timers.run(now);
+        watchdog.did(Doing.TIMERS, now());
         act(now);
         if (now >= sweepAt) {
             sweepAt = now + limits.sweepEvery();
@@ -155,6 +162,11 @@
             catalogue.forget(now - limits.rememberGone(), limits.goneAtMost());
             book.forget(now, Math.max(keyRest, limits.rememberFor()));
             book.tidy();
+            watchdog.did(Doing.SWEEP, now());
+        }
+        String slow = watchdog.end(now());
+        if (slow != null) {
+            log.warn(slow);
         }
         // not at once where nothing is held: clients that do not know yet still come, and are owed an answer
         over = now >= leaveAt || leaveAt < Long.MAX_VALUE && book.held() == 0 && !relay.owes()
@@ -164,6 +176,7 @@
     private void take(Word word, long now) {
         if (word instanceof Word.Handed handed) {
             handedIn.decrementAndGet();
+            watchdog.waited(now - handed.handover().readAt());
             handed(handed.handover(), now);
         } else if (word instanceof Word.ShotOver shot) {
             send.ended(shot);
@@ -243,10 +256,12 @@
     private void act(long now) {
         while (route.due()) {
             List<Action> actions = route.turn(now);
+            watchdog.did(Doing.MODULE, now());
             answerFresh(actions);
             for (Action action : actions) {
                 act(action, now);
             }
+            watchdog.did(Doing.ACTIONS, now());
         }
         relay.notices(now);
     }
