--- a/src/main/java/terndyke/lab/run/Day.java
+++ b/src/main/java/terndyke/lab/run/Day.java
@@ -7,9 +7,11 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -93,7 +95,11 @@
                 Net receiving = new Net("terndyke-lab-receivers", 2);
                 Net calling = new Net("terndyke-lab-clients", 2);
                 Emulator emulator = new Emulator(day, logbook, receiving, ticker, true)) {
+            FileTime built = builtAt();
             Outcome outcome = play(arrivals, clientTicker, failureTicker, receiving, calling, emulator);
+            if (!Objects.equals(built, builtAt())) { // a JVM whose jar is replaced under it fails in any way
+                return outcome.voided("the node's program was replaced while the day was played");
+            }
             for (Ticker each : List.of(ticker, clientTicker, failureTicker)) {
                 if (each.failure() != null) {
                     StringWriter trace = new StringWriter();
@@ -108,6 +114,12 @@
         }
     }
 
+    /** When the program of the nodes was built; null where it is no jar. */
+    private FileTime builtAt() throws IOException {
+        String file = jar != null ? jar : System.getProperty("terndyke.jar");
+        return file == null || standIn != null ? null : Files.getLastModifiedTime(Path.of(file));
+    }
+
     private List<Arrival> arrivals() throws BadInput {
         List<Arrival> arrivals = new ArrayList<>(day.load().trace() == null ? Schedule.of(day)
                 : Trace.read(Path.of(day.load().trace()), day));
