--- a/src/main/java/terndyke/lab/report/Summary.java
+++ b/src/main/java/terndyke/lab/report/Summary.java
@@ -106,7 +106,7 @@
                 got += at == null ? 0 : grade.worth() * worth(grade, at - one.getValue().due());
             }
         }
-        return offered == 0 ? 1 : got / offered;
+        return offered > 0 ? got / offered : outcome.offered() == 0 || only >= 0 ? 1 : 0;
     }
 
     public ObjectNode json() {
--- a/src/main/java/terndyke/lab/run/Day.java
+++ b/src/main/java/terndyke/lab/run/Day.java
@@ -145,6 +145,9 @@
                 voided = "node " + node + " did not serve within " + READY / 1000 + " s: " + lastWords(node);
             } else {
                 see(What.NODE_READY, node, null);
+                if (hangsUp() && nodes.get(node) instanceof NodeProcess process && process.deafToHangup()) {
+                    voided = "SIGHUP is ignored here (nohup?), so no node hears that its configuration changed";
+                }
             }
         }
         List<InetSocketAddress> addresses = nodes.stream().map(Subject::listen).toList();
@@ -248,6 +251,10 @@
         }
     }
 
+    private boolean hangsUp() {
+        return day.failures().stream().anyMatch(one -> one.kind() == Kind.HANGUP || one.kind() == Kind.RELOAD);
+    }
+
     private String lastWords(int node) {
         return nodes.get(node) instanceof NodeProcess process ? process.lastWords() : "";
     }
--- a/src/main/java/terndyke/lab/run/NodeProcess.java
+++ b/src/main/java/terndyke/lab/run/NodeProcess.java
@@ -42,6 +42,25 @@
         this.diskMb = diskMb;
         state = folder.resolve("state");
         Files.createDirectories(state);
+        Files.deleteIfExists(folder.resolve("log")); // of an earlier day in the same folder, like its journal
+        try (Stream<Path> files = Files.list(state)) {
+            for (Path old : files.filter(Files::isRegularFile).toList()) {
+                Files.delete(old);
+            }
+        }
+    }
+
+    /**
+     * Whether it never hears SIGHUP: what a process ignores its children ignore too, so a node below nohup cannot be told
+     * to read its configuration again.
+     */
+    boolean deafToHangup() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/" + pid() + "/status"))) {
+            if (line.startsWith("SigIgn:")) {
+                return (Long.parseUnsignedLong(line.substring(7).strip(), 16) & 1) != 0;
+            }
+        }
+        return false;
     }
 
     /** What to start: that jar, or else the program that this laboratory belongs to. */
