Laboratory read again: dead code gone, owed records and the schema no longer sought anew

HttpCore's Host stands for an anonymous class, one scaffold for three proofs, one list of an experiment's fields for five copies, the link's own defaults for eleven empty or equal methods, NodeFile for its wrapper. Methods that nobody called are gone.

--- a/src/main/java/terndyke/lab/Lab.java
+++ b/src/main/java/terndyke/lab/Lab.java
@@ -14,7 +14,6 @@
 import java.util.stream.Stream;
 
 import org.HdrHistogram.Histogram;
-import org.knowm.xchart.XYChart;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
@@ -41,7 +40,7 @@
 import terndyke.lab.report.Report;
 import terndyke.lab.report.SweepPlot;
 import terndyke.lab.run.Day;
-import terndyke.lab.run.NodeFiles;
+import terndyke.lab.run.NodeFile;
 import terndyke.lab.run.Outcome;
 import terndyke.lab.standin.StandInNode;
 import terndyke.lab.wire.Net;
@@ -384,7 +383,7 @@
             Files.createDirectories(folder);
             for (int node = 0; node < day.nodes().count(); node++) {
                 Path file = folder.resolve("n" + node + ".json");
-                Files.writeString(file, NodeFiles.of(day, node, emulator.agents().get(node)));
+                Files.writeString(file, NodeFile.of(day, node, emulator.agents().get(node)));
                 out.println("node " + node + ": serve --config " + file);
             }
             out.println(emulator.receivers() + " receivers serve; failures count from now, an interrupt ends it");
@@ -522,13 +521,7 @@
             }
             all.add(some);
         }
-        StringBuilder html = new StringBuilder("<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>sweep</title>");
-        for (String figure : sweep.figures.split(",")) {
-            XYChart chart = SweepPlot.of(sweep.field, values, figure, all, out);
-            html.append("<p><img alt=\"").append(figure).append("\" src=\"").append(SweepPlot.image(chart)).append("\"></p>");
-        }
-        Files.createDirectories(folder);
-        Files.writeString(folder.resolve("sweep.html"), html);
+        SweepPlot.write(folder.resolve("sweep.html"), sweep.field, values, List.of(sweep.figures.split(",")), all, out);
         out.println("plots: " + folder.resolve("sweep.html"));
         return broken ? 1 : KEPT;
     }
--- a/src/main/java/terndyke/lab/emulate/Agent.java
+++ b/src/main/java/terndyke/lab/emulate/Agent.java
@@ -62,7 +62,6 @@
     private final List<Failure> wrong = new ArrayList<>();
     private long rev;
     private long lastDue;
-    private long notices;
 
     /** A watch that waits for something newer than a version. */
     private record Watcher(Side side, long after, long until) { }
@@ -95,11 +94,6 @@
         ticker.at(Ticker.now() + LINGERS, () -> left.forEach(Link::reset));
     }
 
-    /** How many notices have been answered. */
-    public synchronized long notices() {
-        return notices;
-    }
-
     /** Something changed at discovery; it is heard here after the delay, never before what changed earlier. */
     synchronized void learn(Roster.Entry entry) {
         double later = wrong.stream().filter(failure -> failure.kind() == Kind.LIST_LATE).mapToDouble(Failure::amount).sum();
@@ -161,7 +155,7 @@
                 json.writeStringField("endpoint", at.getAddress().getHostAddress() + ":" + at.getPort());
                 json.writeStringField("az", entry.host().hallName());
                 json.writeStringField("model", entry.kind());
-                json.writeNumberField("pod_group", entry.destination());
+                json.writeNumberField("pod_group", entry.host().destination());
                 json.writeStringField("state", entry.state());
                 json.writeNumberField("capacity_hint", entry.hint());
                 json.writeNumberField("boot_ms", entry.bootMillis());
@@ -242,7 +236,6 @@
             return;
         }
         read.forEach(logbook::add);
-        notices += read.size();
         side.answer(204, "");
     }
 
@@ -277,8 +270,7 @@
 
         @Override
         protected void unreadable(String why) {
-            write(Message.bytes("HTTP/1.1 400 -", "Connection: close\r\n", NOTHING));
-            close();
+            turnDown();
         }
 
         @Override
--- a/src/main/java/terndyke/lab/emulate/Emulator.java
+++ b/src/main/java/terndyke/lab/emulate/Emulator.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.IntStream;
 
 import org.apache.commons.rng.RestorableUniformRandomProvider;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -37,6 +40,7 @@
     private final List<Site> sites = new ArrayList<>();
     private final List<Host> hosts = new ArrayList<>();
     private final List<Agent> agents = new ArrayList<>();
+    private final Map<Receiver, Host> byReceiver = new ConcurrentHashMap<>();
     private final Roster roster = new Roster();
     private final UniformRandomProvider chance;
     private int uids;
@@ -98,8 +102,6 @@
         }
     }
 
-    private final java.util.Map<Receiver, Host> byReceiver = new java.util.concurrent.ConcurrentHashMap<>();
-
     private Receiver receiver(Site site, int index, int hall, Host host) {
         RestorableUniformRandomProvider own = RandomSource.XO_RO_SHI_RO_128_PP.create(chance.nextLong());
         Receiver receiver = new Receiver(site, "s-" + Integer.toHexString(++uids) + "-" + Long.toHexString(day.seed()), index,
@@ -113,7 +115,7 @@
     }
 
     private void list(Host host, String state, long bootMillis) {
-        Destinations some = host.receiver().site() == null ? null : destinations(host.destination());
+        Destinations some = destinations(host.destination());
         double hint = some.limit() != null && some.limit().rate() != null ? some.limit().rate()
                 : some.limit() != null ? some.limit().count() / some.limit().span().seconds()
                 : some.places() / Math.max(0.001, some.service().mean().seconds());
@@ -156,10 +158,11 @@
     /** A failure of receivers or discovery begins; what befalls whom is drawn from the seed and the failure alone. */
     public void begin(Failure failure) {
         if (failure.kind().side() == Side.DISCOVERY) {
-            agents.stream().filter(agent -> failure.strikes(agents.indexOf(agent))).forEach(agent -> agent.begin(failure));
+            struckAgents(failure).forEach(agent -> agent.begin(failure));
             return;
         }
-        for (Host host : struck(failure)) {
+        List<Host> struck = struck(failure);
+        for (Host host : struck) {
             switch (failure.kind()) {
                 case DRAIN -> {
                     list(host, Agent.LEAVING, 0);
@@ -182,19 +185,24 @@
                 default -> host.begin(failure);
             }
         }
-        struck(failure).forEach(host -> act(host::reopen));
+        struck.forEach(host -> act(host::reopen));
     }
 
     /** A failure that began here is over. */
     public void end(Failure failure) {
         if (failure.kind().side() == Side.DISCOVERY) {
-            agents.stream().filter(agent -> failure.strikes(agents.indexOf(agent))).forEach(agent -> agent.end(failure));
+            struckAgents(failure).forEach(agent -> agent.end(failure));
         } else if (failure.kind() != Kind.DRAIN && failure.kind() != Kind.REPLACE) {
-            struck(failure).forEach(host -> host.end(failure));
-            struck(failure).forEach(host -> act(host::reopen));
+            List<Host> struck = struck(failure);
+            struck.forEach(host -> host.end(failure));
+            struck.forEach(host -> act(host::reopen));
         }
     }
 
+    private List<Agent> struckAgents(Failure failure) {
+        return IntStream.range(0, agents.size()).filter(failure::strikes).mapToObj(agents::get).toList();
+    }
+
     /** The same machines each time it is asked. */
     private List<Host> struck(Failure failure) {
         UniformRandomProvider drawn = RandomSource.XO_RO_SHI_RO_128_PP.create(day.seed() * 131 + failure.at().micros()
--- a/src/main/java/terndyke/lab/emulate/Host.java
+++ b/src/main/java/terndyke/lab/emulate/Host.java
@@ -383,8 +383,7 @@
 
         @Override
         protected void unreadable(String why) {
-            write(Message.bytes("HTTP/1.1 400 -", "Connection: close\r\n", NOTHING));
-            close();
+            turnDown();
         }
 
         @Override
--- a/src/main/java/terndyke/lab/load/Clients.java
+++ b/src/main/java/terndyke/lab/load/Clients.java
@@ -40,6 +40,8 @@
     private final Ticker ticker;
     private final Logbook logbook;
     private final List<InetSocketAddress> nodes;
+    private final List<String> grades;
+    private final List<String> tenants;
     private final List<ArrayDeque<Side>> idle;
     private final AtomicInteger[] connections;
     private final boolean[] away;
@@ -72,8 +74,8 @@
             this.arrival = arrival;
             this.due = due;
             this.extra = extra;
-            grade = gradeOf(arrival.grade());
-            tenant = tenantOf(arrival.tenant());
+            grade = grades.indexOf(arrival.grade());
+            tenant = tenants.indexOf(arrival.tenant());
         }
 
         long ends() {
@@ -91,6 +93,8 @@
         this.ticker = ticker;
         this.logbook = logbook;
         this.nodes = List.copyOf(nodes);
+        grades = day.grades().stream().map(Grade::name).toList();
+        tenants = day.tenants().stream().map(Experiment.Tenant::name).toList();
         ids = RandomSource.XO_RO_SHI_RO_128_PP.create(day.seed() * 17 + 3);
         idle = nodes.stream().map(node -> new ArrayDeque<Side>()).toList();
         away = new boolean[nodes.size()];
@@ -100,24 +104,6 @@
         }
     }
 
-    private int gradeOf(String name) {
-        for (int i = 0; i < day.grades().size(); i++) {
-            if (day.grades().get(i).name().equals(name)) {
-                return i;
-            }
-        }
-        throw new IllegalArgumentException(name);
-    }
-
-    private int tenantOf(String name) {
-        for (int i = 0; i < day.tenants().size(); i++) {
-            if (day.tenants().get(i).name().equals(name)) {
-                return i;
-            }
-        }
-        throw new IllegalArgumentException(name);
-    }
-
     /** The front has noticed that a node is away, or that it serves again. */
     public synchronized void away(int node, boolean isAway) {
         away[node] = isAway;
@@ -128,10 +114,6 @@
         return open;
     }
 
-    public synchronized int taken() {
-        return taken;
-    }
-
     /** What came of the messages at the doors: handed in at least once, taken, refused for good, failed, unanswered. */
     public synchronized int[] atTheDoors() {
         return new int[] {handedIn, taken, refused, failed, unanswered};
@@ -382,11 +364,6 @@
             }
         }
 
-        @Override
-        protected void unreadable(String why) {
-            reset();
-        }
-
         @Override
         protected void ended() {
             connections[node].decrementAndGet();
--- a/src/main/java/terndyke/lab/load/Intruders.java
+++ b/src/main/java/terndyke/lab/load/Intruders.java
@@ -126,9 +126,6 @@
 
         @Override
         protected void unreadable(String why) { }
-
-        @Override
-        protected void ended() { }
     }
 
     /** A connection that hands in half a request, byte by byte, or nothing. */
@@ -194,14 +191,6 @@
         protected void came(Message message) {
             close();
         }
-
-        @Override
-        protected void unreadable(String why) {
-            reset();
-        }
-
-        @Override
-        protected void ended() { }
     }
 
     /** The messages of a flood, as the schedule would hold them. */
--- a/src/main/java/terndyke/lab/load/LoadTool.java
+++ b/src/main/java/terndyke/lab/load/LoadTool.java
@@ -184,11 +184,6 @@
             free();
         }
 
-        @Override
-        protected void unreadable(String why) {
-            reset();
-        }
-
         @Override
         protected void ended() {
             synchronized (LoadTool.this) {
--- a/src/main/java/terndyke/lab/load/Proof.java
+++ b/src/main/java/terndyke/lab/load/Proof.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongUnaryOperator;
 
 import org.HdrHistogram.Histogram;
 
@@ -20,7 +21,6 @@
  * Checks the load tool on the machine at hand, against stand-ins whose delays are known: every percentile has to be
  * within 2% or 1 ms of what the schedule and the delays imply.
  */
-@SuppressWarnings("try") // stand-ins serve while they are open, nobody calls them
 public final class Proof {
     private static final double[] PERCENTILES = {50, 90, 99, 99.9, 100};
     private static final double SHARE = 0.02;
@@ -41,6 +41,24 @@
         return holds;
     }
 
+    /** A run of the tool, and how long the stand-in really took for its answers. */
+    private record Measured(LoadTool.Run run, Histogram gave) { }
+
+    /** Loads a stand-in that answers as told; what is to be done just ahead of the first due time is done then. */
+    private static Measured measure(int connections, List<Arrival> arrivals, long patience, Runnable ahead,
+            LongUnaryOperator answerAt) throws IOException, InterruptedException {
+        try (Ticker ticker = new Ticker("terndyke-lab-proof"); Net net = new Net("terndyke-lab-proof", 1);
+                Net serving = new Net("terndyke-lab-served", 1)) {
+            InetSocketAddress address = Net.free("127.0.0.1");
+            try (PlainReceiver receiver = new PlainReceiver(address, serving, ticker, answerAt)) {
+                LoadTool tool = new LoadTool(net, address, connections);
+                tool.open(connections);
+                ahead.run();
+                return new Measured(tool.run(arrivals, patience), receiver.gave());
+            }
+        }
+    }
+
     private static List<Arrival> steady(double rate, long micros) {
         List<Arrival> arrivals = new ArrayList<>();
         for (int i = 0; i < rate * micros / 1e6; i++) {
@@ -56,19 +74,10 @@
         out.printf(Locale.ROOT, "stall of %.1f s in %.0f s at %.0f/s, %d connections%n", lasts / 1e6, length / 1e6, rate,
                 connections);
         List<Arrival> arrivals = steady(rate, length);
-        LoadTool.Run run;
-        try (Ticker ticker = new Ticker("terndyke-lab-proof"); Net net = new Net("terndyke-lab-proof", 2)) {
-            InetSocketAddress address = Net.free("127.0.0.1");
-            try (PlainReceiver receiver = new PlainReceiver(address, net, ticker, now -> {
-                long from = stallFrom.get();
-                return now + service > from && now < from + lasts ? from + lasts : now + service;
-            })) {
-                LoadTool tool = new LoadTool(net, address, connections);
-                tool.open(connections);
-                stallFrom.set(Ticker.now() + 50_000 + at);
-                run = tool.run(arrivals, 10_000_000);
-            }
-        }
+        LoadTool.Run run = measure(connections, arrivals, 10_000_000, () -> stallFrom.set(Ticker.now() + 50_000 + at), now -> {
+            long from = stallFrom.get();
+            return now + service > from && now < from + lasts ? from + lasts : now + service;
+        }).run;
         long[] implied = implied(arrivals, at, lasts, service, connections);
         check("from due", run.fromDue(), implied);
         out.printf(Locale.ROOT, "  from sent, for comparison: p99 %.1f ms, p99.9 %.1f ms, max %.1f ms%n",
@@ -102,16 +111,9 @@
     private void delays() throws IOException, InterruptedException {
         out.println("delays of about 2 ms (60%), 10 ms (35%), 50 ms (4.5%) and 200 ms (0.5%) at 1000/s");
         AtomicInteger number = new AtomicInteger();
-        try (Ticker ticker = new Ticker("terndyke-lab-proof"); Net net = new Net("terndyke-lab-proof", 2)) {
-            InetSocketAddress address = Net.free("127.0.0.1");
-            try (PlainReceiver receiver = new PlainReceiver(address, net, ticker,
-                    now -> now + delay(number.getAndIncrement()))) {
-                LoadTool tool = new LoadTool(net, address, 256);
-                tool.open(64);
-                LoadTool.Run run = tool.run(steady(1_000, 4_000_000), 5_000_000);
-                check("from due", run.fromDue(), receiver.gave());
-            }
-        }
+        Measured measured = measure(256, steady(1_000, 4_000_000), 5_000_000, () -> { },
+                now -> now + delay(number.getAndIncrement()));
+        check("from due", measured.run.fromDue(), measured.gave);
     }
 
     private static long delay(int number) {
@@ -142,20 +144,12 @@
     private void rates() throws IOException, InterruptedException {
         out.println("rates against a receiver that answers at once (the tool's lateness and answers from due, ms)");
         for (double rate : new double[] {1_000, 5_000, 10_000, 15_000, 20_000, 30_000}) {
-            try (Ticker ticker = new Ticker("terndyke-lab-proof"); Net net = new Net("terndyke-lab-proof", 1);
-                    Net serving = new Net("terndyke-lab-served", 1)) {
-                InetSocketAddress address = Net.free("127.0.0.1");
-                try (PlainReceiver receiver = new PlainReceiver(address, serving, ticker, now -> now)) {
-                    LoadTool tool = new LoadTool(net, address, 64);
-                    tool.open(64);
-                    LoadTool.Run run = tool.run(steady(rate, 5_000_000), 5_000_000);
-                    out.printf(Locale.ROOT, "  %6.0f/s: late p99 %.3f, p99.9 %.3f, max %.3f; answered p50 %.3f, p99 %.3f, max "
-                            + "%.3f; %d of %d answered%n", rate, run.lateness().getValueAtPercentile(99) / 1e3,
-                            run.lateness().getValueAtPercentile(99.9) / 1e3, run.lateness().getMaxValue() / 1e3,
-                            run.fromDue().getValueAtPercentile(50) / 1e3, run.fromDue().getValueAtPercentile(99) / 1e3,
-                            run.fromDue().getMaxValue() / 1e3, run.answered(), run.offered());
-                }
-            }
+            LoadTool.Run run = measure(64, steady(rate, 5_000_000), 5_000_000, () -> { }, now -> now).run;
+            out.printf(Locale.ROOT, "  %6.0f/s: late p99 %.3f, p99.9 %.3f, max %.3f; answered p50 %.3f, p99 %.3f, max "
+                    + "%.3f; %d of %d answered%n", rate, run.lateness().getValueAtPercentile(99) / 1e3,
+                    run.lateness().getValueAtPercentile(99.9) / 1e3, run.lateness().getMaxValue() / 1e3,
+                    run.fromDue().getValueAtPercentile(50) / 1e3, run.fromDue().getValueAtPercentile(99) / 1e3,
+                    run.fromDue().getMaxValue() / 1e3, run.answered(), run.offered());
         }
     }
 }
--- a/src/main/java/terndyke/lab/model/Receiver.java
+++ b/src/main/java/terndyke/lab/model/Receiver.java
@@ -78,10 +78,6 @@
         return hall;
     }
 
-    public boolean fallen() {
-        return fallen;
-    }
-
     /** Shots at work and in the queue. */
     public int inHand() {
         return busy + queue.size();
@@ -176,7 +172,6 @@
 
     /** A call has come to its last byte. */
     public void arrived(long now, Shot shot) {
-        shot.arrivedAt = now;
         if (weigh(now)) {
             return;
         }
--- a/src/main/java/terndyke/lab/model/Shot.java
+++ b/src/main/java/terndyke/lab/model/Shot.java
@@ -7,7 +7,6 @@
     final int node;
     final Object from;
     final boolean firstOnConnection;
-    long arrivedAt;
     boolean gone;
 
     public Shot(String id, String mark, int node, Object from, boolean firstOnConnection) {
@@ -33,8 +32,4 @@
     public Object from() {
         return from;
     }
-
-    public long arrivedAt() {
-        return arrivedAt;
-    }
 }
--- a/src/main/java/terndyke/lab/model/Site.java
+++ b/src/main/java/terndyke/lab/model/Site.java
@@ -1,10 +1,8 @@
 package terndyke.lab.model;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 
 import terndyke.lab.plan.Experiment.Destinations;
@@ -15,7 +13,6 @@
     final Destinations told;
     final long window;
     private final Allowance shared;
-    private final List<Receiver> receivers = new ArrayList<>();
     private final Map<Integer, Map<String, Long>> memories = new HashMap<>();
 
     /** @param window how long a hall drops repeats of a mark, in microseconds */
@@ -30,14 +27,6 @@
         return number;
     }
 
-    public boolean apart() {
-        return told.apart();
-    }
-
-    public List<Receiver> receivers() {
-        return receivers;
-    }
-
     Allowance allowance() {
         return told.apart() ? new Allowance(told.limit()) : shared;
     }
--- a/src/main/java/terndyke/lab/plan/Drawer.java
+++ b/src/main/java/terndyke/lab/plan/Drawer.java
@@ -29,9 +29,7 @@
             failures.add(new Failure(kind, new Span(at / 1000 * 1000), lasts, null, target(base, kind, chance)));
         }
         failures.sort(Comparator.comparing(Failure::at));
-        return new Experiment(base.name() + "-drawn-" + seed, "drawn from seed " + seed, seed, base.length(), base.settle(),
-                base.late(), base.nodes(), base.grades(), base.tenants(), base.halls(), base.destinations(), base.load(),
-                base.clients(), base.list(), failures);
+        return base.with(base.name() + "-drawn-" + seed, "drawn from seed " + seed, seed, base.length(), failures);
     }
 
     private static long at(Experiment base, UniformRandomProvider chance) {
--- a/src/main/java/terndyke/lab/plan/Experiment.java
+++ b/src/main/java/terndyke/lab/plan/Experiment.java
@@ -191,28 +191,22 @@
 
     /** The same day from another seed. */
     public Experiment withSeed(long other) {
-        return new Experiment(name, about, other, length, settle, late, nodes, grades, tenants, halls, destinations, load,
-                clients, list, failures);
+        return with(name, about, other, length, failures);
     }
 
     /** The same day with other failures. */
     public Experiment withFailures(List<Failure> others) {
-        return new Experiment(name, about, seed, length, settle, late, nodes, grades, tenants, halls, destinations, load,
-                clients, list, others);
+        return with(name, about, seed, length, others);
     }
 
     /** The same day, longer or shorter; what would begin after its end stays in the file and never happens. */
     public Experiment withLength(Span other) {
-        return new Experiment(name, about, seed, other, settle, late, nodes, grades, tenants, halls, destinations, load,
-                clients, list, failures);
+        return with(name, about, seed, other, failures);
     }
 
-    /** The same day with another number of nodes. */
-    public Experiment withNodes(int count) {
-        Nodes more = new Nodes(count, nodes.cores, nodes.memoryMb, nodes.sockets, nodes.diskMb, nodes.slots, nodes.held,
-                nodes.copies, nodes.connectTimeout);
-        return new Experiment(name, about, seed, length, settle, late, more, grades, tenants, halls, destinations, load,
-                clients, list, failures);
+    Experiment with(String otherName, String otherAbout, long otherSeed, Span otherLength, List<Failure> others) {
+        return new Experiment(otherName, otherAbout, otherSeed, otherLength, settle, late, nodes, grades, tenants, halls,
+                destinations, load, clients, list, others);
     }
 
     /** What a file tells beyond its fields' forms; empty where it holds together. By the field's place in the file. */
--- a/src/main/java/terndyke/lab/plan/ExperimentFile.java
+++ b/src/main/java/terndyke/lab/plan/ExperimentFile.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -28,12 +29,14 @@
 
 /** Reads and writes experiments as YAML. A file is used only without a fault, and all faults are told at once. */
 public final class ExperimentFile {
-    private static final String SCHEMA = "/terndyke/lab/experiment.schema.json";
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final ObjectMapper YAML = new ObjectMapper(
             new YAMLFactory().disable(YAMLGenerator.Feature.WRITE_DOC_START_MARKER)
                     .enable(YAMLGenerator.Feature.MINIMIZE_QUOTES));
 
+    private static final JsonNode SCHEMA = schema();
+    private static final Schema CHECK = SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12).getSchema(SCHEMA);
+
     private ExperimentFile() { }
 
     public static Experiment read(Path file) throws BadInput {
@@ -72,7 +75,7 @@
             put(tree, one.getKey(), one.getValue());
         }
         Map<Integer, List<String>> faults = new TreeMap<>();
-        for (Error error : schema().validate(tree)) {
+        for (Error error : CHECK.validate(tree)) {
             String at = error.getInstanceLocation().toString();
             String field = error.getProperty() != null ? at + "/" + error.getProperty() : at;
             add(faults, name, places, field, words(error, tree.at(at)));
@@ -127,17 +130,15 @@
         }
     }
 
-    public static JsonNode schemaText() throws IOException {
-        try (InputStream in = ExperimentFile.class.getResourceAsStream(SCHEMA)) {
-            return JSON.readTree(in);
-        }
+    public static JsonNode schemaText() {
+        return SCHEMA;
     }
 
-    private static Schema schema() {
-        try {
-            return SchemaRegistry.withDefaultDialect(SpecificationVersion.DRAFT_2020_12).getSchema(schemaText());
+    private static JsonNode schema() {
+        try (InputStream in = ExperimentFile.class.getResourceAsStream("/terndyke/lab/experiment.schema.json")) {
+            return JSON.readTree(in);
         } catch (IOException e) {
-            throw new IllegalStateException(e);
+            throw new UncheckedIOException(e);
         }
     }
 
@@ -169,11 +170,7 @@
 
     private static List<String> known() {
         List<String> names = new ArrayList<>();
-        try {
-            schemaText().findValues("properties").forEach(each -> each.fieldNames().forEachRemaining(names::add));
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
+        SCHEMA.findValues("properties").forEach(each -> each.fieldNames().forEachRemaining(names::add));
         return names;
     }
 
--- a/src/main/java/terndyke/lab/plan/Span.java
+++ b/src/main/java/terndyke/lab/plan/Span.java
@@ -10,7 +10,6 @@
 /** A time as people write it (250ms, 1.5s, 2m), held in whole microseconds. */
 public record Span(long micros) implements Comparable<Span> {
     public static final Span ZERO = new Span(0);
-    public static final String FORM = "^\\d+(\\.\\d+)?(us|ms|s|m)$";
     private static final Pattern PARTS = Pattern.compile("(\\d+(?:\\.\\d+)?)(us|ms|s|m)");
 
     @JsonCreator
--- a/src/main/java/terndyke/lab/referee/Logbook.java
+++ b/src/main/java/terndyke/lab/referee/Logbook.java
@@ -2,13 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import terndyke.lab.referee.Sight.What;
 
 /** Collects sights from all threads. Times become those since the day's start. */
 public final class Logbook {
     private final List<Sight> sights = new ArrayList<>(1 << 14);
+    private final Set<String> owed = new HashSet<>(); // told that they are taken, without an end so far
+    private final Set<String> ended = new HashSet<>();
     private volatile long start;
 
     public void startAt(long micros) {
@@ -26,6 +30,20 @@
                 sight.began() == 0 ? 0 : sight.began() - start, sight.note(), since(sight.handed()));
         synchronized (sights) {
             sights.add(moved);
+            boolean taken = sight.what() == What.ANSWERED && (sight.status() == 202 || sight.status() == 200);
+            if (sight.what() == What.NOTICE || sight.what() == What.CALL_ANSWERED && sight.status() == 200) {
+                ended.add(sight.id());
+                owed.remove(sight.id());
+            } else if (taken && !ended.contains(sight.id())) {
+                owed.add(sight.id());
+            }
+        }
+    }
+
+    /** Whether no record that was taken on is without its end. */
+    public boolean allEnded() {
+        synchronized (sights) {
+            return owed.isEmpty();
         }
     }
 
@@ -43,10 +61,4 @@
             return sorted;
         }
     }
-
-    public boolean has(What what) {
-        synchronized (sights) {
-            return sights.stream().anyMatch(sight -> sight.what() == what);
-        }
-    }
 }
--- a/src/main/java/terndyke/lab/referee/Referee.java
+++ b/src/main/java/terndyke/lab/referee/Referee.java
@@ -255,7 +255,6 @@
         if (story == null || story.foreign) { // whose it was is not seen here
             return;
         }
-        story.runs++;
         Story first = firstOfMessage.putIfAbsent(story.handed.message(), story);
         if (first == null || first == story || grade(story).effect() == Effect.IDEMPOTENT) {
             return;
--- a/src/main/java/terndyke/lab/referee/Story.java
+++ b/src/main/java/terndyke/lab/referee/Story.java
@@ -18,7 +18,6 @@
     long refusedNoticeAt = -1; // when one first came that the platform did not take
     String notice;
     boolean foreign; // somebody else used its id
-    int runs; // effects that no hall dropped
 
     /** One call of a record, as its receiver saw it. */
     static final class Call {
@@ -76,10 +75,6 @@
         return noticeAt;
     }
 
-    public int callCount() {
-        return calls.size();
-    }
-
     public long deadline() {
         return handed.sent() + handed.timeout();
     }
--- a/src/main/java/terndyke/lab/report/SweepPlot.java
+++ b/src/main/java/terndyke/lab/report/SweepPlot.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 
@@ -14,8 +16,23 @@
 public final class SweepPlot {
     private SweepPlot() { }
 
-    /** @param all for each value the summaries of its seeds */
-    public static XYChart of(String field, List<String> values, String figure, List<List<JsonNode>> all, PrintStream out) {
+    /**
+     * Leaves a page with a plot for each figure.
+     *
+     * @param all for each value the summaries of its seeds
+     */
+    public static void write(Path file, String field, List<String> values, List<String> figures, List<List<JsonNode>> all,
+            PrintStream out) throws IOException {
+        StringBuilder html = new StringBuilder("<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>sweep</title>");
+        for (String figure : figures) {
+            html.append("<p><img alt=\"").append(Report.safe(figure)).append("\" src=\"")
+                    .append(Plots.image(of(field, values, figure, all, out))).append("\"></p>");
+        }
+        Files.createDirectories(file.getParent());
+        Files.writeString(file, html);
+    }
+
+    private static XYChart of(String field, List<String> values, String figure, List<List<JsonNode>> all, PrintStream out) {
         double[] x = new double[values.size()];
         double[] mean = new double[x.length];
         double[] spread = new double[x.length];
@@ -43,8 +60,4 @@
             return turn;
         }
     }
-
-    public static String image(XYChart chart) throws IOException {
-        return Plots.image(chart);
-    }
 }
--- a/src/main/java/terndyke/lab/run/Day.java
+++ b/src/main/java/terndyke/lab/run/Day.java
@@ -390,7 +390,7 @@
         long longest = day.grades().stream().mapToLong(grade -> grade.abandon().micros()).max().orElse(0);
         long last = start + day.length().micros() + longest + OVERDUE + day.settle().micros();
         while (Ticker.now() < last && interrupted.getCount() > 0) {
-            if (Ticker.now() > start + day.length().micros() && clients.open() == 0 && quiet() && allEnded()) {
+            if (Ticker.now() > start + day.length().micros() && clients.open() == 0 && quiet() && logbook.allEnded()) {
                 interrupted.await(day.settle().micros(), TimeUnit.MICROSECONDS);
                 return;
             }
@@ -402,19 +402,6 @@
         return failuresUnderWay == 0;
     }
 
-    private boolean allEnded() {
-        java.util.Set<String> owed = new java.util.HashSet<>();
-        java.util.Set<String> ended = new java.util.HashSet<>();
-        for (Sight sight : logbook.all()) {
-            if (sight.what() == What.ANSWERED && (sight.status() == 202 || sight.status() == 200)) {
-                owed.add(sight.id());
-            } else if (sight.what() == What.NOTICE || sight.what() == What.CALL_ANSWERED && sight.status() == 200) {
-                ended.add(sight.id());
-            }
-        }
-        return ended.containsAll(owed);
-    }
-
     private void stopNodes() throws InterruptedException {
         for (int node = 0; node < nodes.size(); node++) {
             Subject subject = nodes.get(node);
--- a/src/main/java/terndyke/lab/run/NodeFile.java
+++ b/src/main/java/terndyke/lab/run/NodeFile.java
@@ -1,5 +1,6 @@
 package terndyke.lab.run;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -7,17 +8,24 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
+import terndyke.lab.emulate.Agent;
 import terndyke.lab.plan.Experiment;
 import terndyke.lab.plan.Experiment.Effect;
 import terndyke.lab.plan.Experiment.Grade;
 import terndyke.lab.plan.Experiment.Tenant;
+import terndyke.lab.wire.Net;
 
 /** Writes a node's configuration in the platform's form: what an experiment says, in the words that a node reads. */
-final class NodeFile {
+public final class NodeFile {
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private NodeFile() { }
 
+    /** For a node that somebody else starts beside an emulator. */
+    public static String of(Experiment day, int node, Agent agent) throws IOException {
+        return of(day, node, day.seed() * 1000 + node, Net.free("127.0." + (10 + node) + ".3"), agent.address(), agent.whole());
+    }
+
     static String of(Experiment day, int node, long seed, InetSocketAddress listen, InetSocketAddress agent, String known) {
         ObjectNode file = JSON.createObjectNode();
         file.put("name", "n" + node);
--- a/src/main/java/terndyke/lab/standin/PlainReceiver.java
+++ b/src/main/java/terndyke/lab/standin/PlainReceiver.java
@@ -64,13 +64,5 @@
             }
             write(DONE);
         }
-
-        @Override
-        protected void unreadable(String why) {
-            reset();
-        }
-
-        @Override
-        protected void ended() { }
     }
 }
--- a/src/main/java/terndyke/lab/standin/StandInNode.java
+++ b/src/main/java/terndyke/lab/standin/StandInNode.java
@@ -299,14 +299,6 @@
                 taken(owed);
             }
         }
-
-        @Override
-        protected void unreadable(String why) {
-            reset();
-        }
-
-        @Override
-        protected void ended() { }
     }
 
     /** One call on a connection of its own. */
@@ -373,11 +365,6 @@
             ticker.at(Ticker.now() + 150_000, () -> go(owed));
         }
 
-        @Override
-        protected void unreadable(String why) {
-            reset();
-        }
-
         @Override
         protected void ended() {
             synchronized (StandInNode.this) {
@@ -417,11 +404,6 @@
             }
         }
 
-        @Override
-        protected void unreadable(String why) {
-            reset();
-        }
-
         @Override
         protected void ended() {
             if (!told) {
@@ -453,11 +435,6 @@
             opened();
         }
 
-        @Override
-        protected void unreadable(String why) {
-            reset();
-        }
-
         @Override
         protected void ended() {
             if (!going) {
--- a/src/main/java/terndyke/lab/wire/Link.java
+++ b/src/main/java/terndyke/lab/wire/Link.java
@@ -1,7 +1,6 @@
 package terndyke.lab.wire;
 
 import java.io.IOException;
-import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.charset.StandardCharsets;
@@ -52,13 +51,17 @@
     protected abstract void came(Message message);
 
     /** What came cannot be read. */
-    protected abstract void unreadable(String why);
+    protected void unreadable(String why) {
+        reset();
+    }
 
     /** The connection is over, whoever ended it; told once. */
-    protected abstract void ended();
+    protected void ended() { }
 
-    public SocketAddress localAddress() {
-        return session.getLocalAddress();
+    /** Answers what cannot be read, and ends the connection in good order. */
+    protected final void turnDown() {
+        write(Message.bytes("HTTP/1.1 400 -", "Connection: close\r\n", new byte[0]));
+        close();
     }
 
     public boolean isOpen() {
--- a/src/main/java/terndyke/lab/wire/Net.java
+++ b/src/main/java/terndyke/lab/wire/Net.java
@@ -14,7 +14,7 @@
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.io.CloseMode;
-import org.apache.hc.core5.net.NamedEndpoint;
+import org.apache.hc.core5.net.Host;
 import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
@@ -69,19 +69,9 @@
 
     /** Connects; what the link becomes is told by its own methods, and whenFailed runs where it never comes up. */
     public void connect(InetSocketAddress address, long timeoutMicros, Maker maker, Runnable whenFailed) {
-        NamedEndpoint name = new NamedEndpoint() {
-            @Override
-            public String getHostName() {
-                return address.getHostString();
-            }
-
-            @Override
-            public int getPort() {
-                return address.getPort();
-            }
-        };
         try {
-            reactor.connect(name, address, null, Timeout.ofMicroseconds(timeoutMicros), maker,
+            reactor.connect(new Host(address.getHostString(), address.getPort()), address, null,
+                    Timeout.ofMicroseconds(timeoutMicros), maker,
                     new FutureCallback<IOSession>() {
                         @Override
                         public void completed(IOSession session) { }
