Watchdog reads the clock once for a turn's words, not once for each

Cause: Desk read the clock after every word only to count words, on the hot path. The count is now told once, after the last word.

--- a/src/main/java/terndyke/node/Watchdog.java
+++ b/src/main/java/terndyke/node/Watchdog.java
@@ -44,12 +44,17 @@
         counters.most(Count.LONGEST_WAIT, micros);
     }
 
+    /** So many words have been taken in, in the time since the last one was told. */
+    public void tookIn(int many, long now) {
+        words = many;
+        did(Doing.WORDS, now);
+    }
+
     /** What has passed since the last word was spent so. Outside a turn nothing is measured. */
     public void did(Doing doing, long now) {
         if (began >= 0) {
             spent[doing.ordinal()] += now - at;
             at = now;
-            words += doing == Doing.WORDS ? 1 : 0;
         }
     }
 
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -1,6 +1,5 @@
 package terndyke.node.stage;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -22,7 +21,6 @@
 import terndyke.node.Watchdog.Doing;
 import terndyke.node.discovery.Catalogue;
 import terndyke.node.discovery.Watch;
-import terndyke.node.http.Call;
 import terndyke.node.http.Calls;
 import terndyke.node.http.Handover;
 import terndyke.node.http.Reactor;
@@ -148,11 +146,12 @@
         Word word = inbox.poll(route.due() ? 0 : Math.max(0, next - now), TimeUnit.MICROSECONDS);
         now = now();
         watchdog.begin(now);
-        for (int i = 0; word != null; i++) {
+        int words = 0;
+        while (word != null) {
             take(word, now);
-            watchdog.did(Doing.WORDS, now());
-            word = i < limits.wordsATurn() ? inbox.poll() : null;
+            word = words++ < limits.wordsATurn() ? inbox.poll() : null;
         }
+        watchdog.tookIn(words, now());
         timers.run(now);
         watchdog.did(Doing.TIMERS, now());
         act(now);
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -52,6 +52,7 @@
 /** A whole node on loopback, between stand-ins for an endpoint, discovery and the platform. */
 class DeliveryNodeTest {
     private static final int SILENT = 0;
+    private static final NodeLog NO_LOG = new NodeLog(new PrintStream(PrintStream.nullOutputStream()), "test");
     private static final Duration PATIENCE = Duration.ofSeconds(30); // beside a load on all cores
 
     /** A call as the endpoint got it. */
@@ -413,14 +414,9 @@
 
     @Test
     void whoIsReadInTheLastMomentsOfALeavingNodeIsAnsweredToo() throws Exception {
-        Charter charter = Charter.read(charter(3, 1024).getBytes(StandardCharsets.UTF_8),
-                new Charter.Place("file", null, null, null, folder.toString()));
-        NodeLog log = new NodeLog(new PrintStream(PrintStream.nullOutputStream()), "test");
         Counters counters = new Counters();
-        Reactor reactor = new Reactor(charter.limits(), counters, log);
-        Book book = new Book(Journal.open(folder, charter.limits().journalBytes(), log, new ArrayList<>()), charter.limits(),
-                counters, log);
-        Desk desk = new Desk(charter, reactor, new Catalogue(List.of(), List.of()), book, new NodeClock(), counters, log);
+        Reactor reactor = new Reactor(charter().limits(), counters, NO_LOG);
+        Desk desk = desk(reactor, counters);
         reactor.start();
         AtomicInteger accepted = new AtomicInteger();
         AtomicInteger answered = new AtomicInteger();
@@ -440,18 +436,26 @@
         reactor.close();
     }
 
-    /** A whole desk that is given records before its first turn: what each client hears. */
-    private List<String> oneTurn(Handover... records) throws Exception {
-        Charter charter = Charter.read(charter(3, 1024).getBytes(StandardCharsets.UTF_8),
+    private Charter charter() throws IOException {
+        return Charter.read(charter(3, 1024).getBytes(StandardCharsets.UTF_8),
                 new Charter.Place("file", null, null, null, folder.toString()));
-        NodeLog log = new NodeLog(new PrintStream(PrintStream.nullOutputStream()), "test");
-        Counters counters = new Counters();
-        Reactor reactor = new Reactor(charter.limits(), counters, log);
+    }
+
+    /** A desk with its list, without its thread. */
+    private Desk desk(Reactor reactor, Counters counters) throws IOException {
+        Charter charter = charter();
         Catalogue catalogue = new Catalogue(charter.zones(), charter.kinds());
         catalogue.take(charter.known(), 0, new ArrayList<>());
-        Book book = new Book(Journal.open(folder, charter.limits().journalBytes(), log, new ArrayList<>()), charter.limits(),
-                counters, log);
-        Desk desk = new Desk(charter, reactor, catalogue, book, new NodeClock(), counters, log);
+        Book book = new Book(Journal.open(folder, charter.limits().journalBytes(), NO_LOG, new ArrayList<>()),
+                charter.limits(), counters, NO_LOG);
+        return new Desk(charter, reactor, catalogue, book, new NodeClock(), counters, NO_LOG);
+    }
+
+    /** A whole desk that is given records before its first turn: what each client hears. */
+    private List<String> oneTurn(Handover... records) throws Exception {
+        Counters counters = new Counters();
+        Reactor reactor = new Reactor(charter().limits(), counters, NO_LOG);
+        Desk desk = desk(reactor, counters);
         reactor.start();
         for (Handover record : records) {
             assertTrue(desk.handOver(record));
--- a/src/test/java/terndyke/node/WatchdogTest.java
+++ b/src/test/java/terndyke/node/WatchdogTest.java
@@ -14,7 +14,7 @@
 
     private String turn(long at, long module, long sweep) {
         watchdog.begin(at);
-        watchdog.did(Doing.WORDS, at + 2_000);
+        watchdog.tookIn(1, at + 2_000);
         watchdog.did(Doing.MODULE, at + 2_000 + module);
         watchdog.did(Doing.SWEEP, at + 2_000 + module + sweep);
         return watchdog.end(at + 2_000 + module + sweep);
