Endpoints crowded with connections are told from limits; idle connections make room

Endpoints held about ten connections each, most of them idle for up to 12 s with nodes that call once in one to two seconds; everybody else was shut out. The node took it for a limit: pace cut to 0.7, rest of two to six seconds, doubled. 670 records a second came, 110 were delivered; 4 % of the rest was answered as over a limit. Ruled out: the limit itself (7 such answers with a told wait), slots (4 of 5 out at most), CPU (0.02 s a second), late lists.

Lines at fault: Send.ending read every 503 as FULL; Dispatcher.callEnded closed idle connections after breaks alone; Calls.dropIdle missed the line whose answer had come but which the I/O thread had not handed back yet.

Change: a 503 with no wait that closes a connection on its first call is CROWDED. It proves that nothing ran, counts against the route's served fraction as every refusal, rests the route for about a call's mean, and is no sign of a limit or an outage. The first one closes all connections in rare use, and dropIdle also marks lines on their way back.

May hurt where a limit's 503 closes fresh connections: then the pace is learned from kept connections alone.

--- a/src/main/java/terndyke/adapter/BatchReader.java
+++ b/src/main/java/terndyke/adapter/BatchReader.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 
@@ -18,7 +19,7 @@
     static final int HEADER = 16;
     private static final int SIZE = 48;
     private static final int ENTRY = 23;
-    private static final Ending[] ENDINGS = Ending.values();
+    private static final Ending[] ENDINGS = Arrays.copyOf(Ending.values(), Ending.NOT_SENT.ordinal() + 1); // by code
 
     /** One thing told to an instance: exactly one of terms, event and exit is set. */
     record Item(int instance, DeliveryTerms terms, Event event, boolean exit) { }
--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -124,7 +124,7 @@
             done(now);
         } else if (ending == Ending.FULL) {
             refused(wait, now);
-        } else if (ending != Ending.NOT_SENT && ending != Ending.RECALLED) {
+        } else if (ending != Ending.NOT_SENT && ending != Ending.RECALLED && ending != Ending.CROWDED) {
             refusedInRow = 0;
             failedAt = now;
             failed++;
@@ -161,7 +161,11 @@
     }
 
     long firstRest() {
-        return (long) ((0.5 + chance.nextDouble()) * Math.min(2 * terms.fallSpan(), REST * terms.nodes()));
+        return aboutOne(Math.min(2 * terms.fallSpan(), REST * terms.nodes()));
+    }
+
+    long aboutOne(double span) {
+        return (long) ((0.5 + chance.nextDouble()) * span);
     }
 
     private void refused(long wait, long now) {
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -207,6 +207,10 @@
             if (ended.ending() != Ending.NOT_SENT && (ended.ending() != Ending.RECALLED || shot.recalled)) {
                 route.learn(now, ended.ending(), ended.spent());
             }
+            if (ended.ending() == Ending.CROWDED && now - brokenAt >= terms.idleClose()) { // others need room too
+                routes.values().stream().filter(r -> r.outcomes.gap(now) > 2 * SOON)
+                        .forEach(r -> actions.add(new Action.DropConnections(r.endpoint)));
+            }
             brokenAt = ended.ending().breaksConnection() ? now : brokenAt;
             route.destination.ended(call, ended.ending(), ended.waitTold(), now);
             busy.add(route.destination);
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -48,7 +48,8 @@
         outcomes.add(now, ending, spent);
         hall.add(now, ending, spent);
         failuresInRow = ending == Ending.DONE || ending == Ending.FULL ? 0 : Math.min(3, failuresInRow + 1);
-        restUntil = failuresInRow == 0 ? 0 : now + (destination.firstRest() << failuresInRow - 1);
+        long rest = ending == Ending.CROWDED ? destination.aboutOne(fit(now).m()) : destination.firstRest();
+        restUntil = failuresInRow == 0 ? 0 : now + (rest << failuresInRow - 1);
     }
 
     /** How long a call may run before it is overdue, by the latency of answers; few count for less. */
--- a/src/main/java/terndyke/node/http/Call.java
+++ b/src/main/java/terndyke/node/http/Call.java
@@ -10,8 +10,16 @@
         this(method, path, headers, body, Long.MAX_VALUE);
     }
 
-    /** What came back. Status is 0 and ending says why where there was no readable answer. */
-    public record Result(int status, Ending ending, long waitTold, boolean lineBusy, String load, byte[] body) {
+    /**
+     * What came back. Status is 0 and ending says why where there was no readable answer; shutOut is true where the
+     * answer to a connection's first call was that it is closed again.
+     */
+    public record Result(int status, Ending ending, long waitTold, boolean lineBusy, String load, byte[] body,
+            boolean shutOut) {
+
+        public Result(int status, Ending ending, long waitTold, boolean lineBusy, String load, byte[] body) {
+            this(status, ending, waitTold, lineBusy, load, body, false);
+        }
 
         static Result none(Ending ending) {
             return new Result(0, ending, 0, false, null, null);
--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -123,6 +123,7 @@
         private boolean counted = true;
         private AnswerHeads heads;
         private boolean inInput;
+        private boolean firstCall = true; // the one that is on it is its first
 
         private Line(Peer peer) {
             this.peer = peer;
@@ -199,6 +200,7 @@
         Deque<Line> free = idle.getOrDefault(peer, new ArrayDeque<>(0));
         for (Line line = rested(free, now); line != null; line = rested(free, now)) {
             if (line.usable() && now - line.idleSince < limits.idleClose()) {
+                line.firstCall = false; // read on the I/O thread only after the exchange below is
                 line.exchange = new Exchange(line, call, now, sink);
                 line.session.enqueue(line.exchange.command(), Command.Priority.NORMAL);
                 busy.add(line);
@@ -285,8 +287,13 @@
         dropIdle(peer);
     }
 
-    /** Closes the idle connections to a peer. */
+    /**
+     * Closes the idle connections to a peer, and each whose call is over when the I/O thread hands it back. Guards
+     * against the turn that hears of an answer before its line is free, which else left the line idle for seconds.
+     */
     public void dropIdle(Peer peer) {
+        busy.stream().filter(line -> line.peer == peer && line.exchange != null && line.exchange.ended)
+                .forEach(line -> line.last = true);
         Deque<Line> free = idle.remove(peer);
         if (free != null) {
             free.forEach(this::drop);
@@ -347,7 +354,7 @@
         private volatile boolean withheld;
         private final long decidedAt;
         private boolean passed; // one pass over all connections since the call was put on its line
-        private boolean ended;
+        private volatile boolean ended;
         private volatile boolean freed;
         private boolean handed;
         private int passedOver; // bytes of an answer that nobody wants
@@ -497,7 +504,7 @@
             Header wait = head.getFirstHeader("Retry-After");
             Header load = head.countHeaders("Server-Load") == 1 ? head.getFirstHeader("Server-Load") : null;
             return new Call.Result(head.getCode(), null, micros(wait), head.containsHeader("X-Line-Busy"),
-                    load == null ? null : load.getValue(), content);
+                    load == null ? null : load.getValue(), content, line.last && line.firstCall);
         }
 
         @Override
--- a/src/main/java/terndyke/node/stage/Send.java
+++ b/src/main/java/terndyke/node/stage/Send.java
@@ -140,7 +140,10 @@
         return switch (result.status()) {
             case 200 -> Ending.DONE;
             case 429 -> Ending.FULL;
-            case 503 -> result.lineBusy() ? Ending.NOT_SENT : Ending.FULL;
+            // a connection that is turned away at once and closed says nothing of the destination's limit: guards
+            // against taking a table of connections that other nodes fill for one; may hurt where a limit closes too
+            case 503 -> result.lineBusy() ? Ending.NOT_SENT
+                    : result.shutOut() && result.waitTold() == 0 ? Ending.CROWDED : Ending.FULL;
             case 410, 504 -> Ending.NOT_SENT;
             default -> Ending.ERROR;
         };
--- a/src/test/java/terndyke/decision/DispatcherTest.java
+++ b/src/test/java/terndyke/decision/DispatcherTest.java
@@ -356,6 +356,27 @@
         assertFalse(actions.contains(new Action.DropConnections(11)));
     }
 
+    @Test
+    void aCrowdedEndpointIsTriedAgainSoonHoweverManyNodesThereAre() {
+        Dispatcher dispatcher = dispatcher(Given.terms(false, true, 100, 100, 0, 8, List.of()), 0);
+        List<Action> actions = new ArrayList<>(dispatcher.turn(START, takenAll(2, Given.IDEMPOTENT)));
+        long first = only(Shoot.class, actions).get(0).endpoint();
+        actions = dispatcher.turn(START + 100_000, List.of(ended(1, 0, first, Ending.CROWDED, 0)));
+        assertTrue(actions.contains(new Action.DropConnections(first)));
+        dispatcher.turn(START + 120_000, List.of(ended(2, 0, first == 11 ? 12 : 11, Ending.CROWDED, 0)));
+        actions = wakeUntil(dispatcher, START + 130_000, START + 900_000);
+        assertEquals(1, only(Shoot.class, actions).size()); // a refusal at 100 nodes rests for two seconds and more
+    }
+
+    @Test
+    void aFirstCrowdedCallClosesWhatIsRarelyUsedEverywhere() {
+        Dispatcher dispatcher = dispatcher(terms(false, true, 100), 0);
+        dispatcher.turn(START, takenAll(2, Given.IDEMPOTENT));
+        dispatcher.turn(START + 100_000, List.of(ended(1, 0, 11, Ending.DONE, 0)));
+        assertTrue(dispatcher.turn(START + 200_000, List.of(ended(2, 0, 12, Ending.CROWDED, 0)))
+                .contains(new Action.DropConnections(11)));
+    }
+
     @Test
     void anEndpointBackFromBeingGoneKeepsItsWaitAndOneLongGoneStartsAnew() {
         for (long away : List.of(20_000_000L, 70_000_000L)) {
--- a/src/test/java/terndyke/node/http/CallsTest.java
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -107,6 +108,51 @@
         assertEquals(1, counters.of(Count.CONNECTIONS_OPENED));
     }
 
+    @Test
+    void aConnectionClosedOnItsFirstCallWasShutOutAndOneClosedLaterWasNot() throws Exception {
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            assertTrue(result().shutOut());
+            calls.free(free.poll(30, TimeUnit.SECONDS), 0);
+        }
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, ANSWER);
+            assertFalse(result().shutOut());
+            calls.free(free.poll(30, TimeUnit.SECONDS), 0);
+            call(BODY, 1000);
+            request(connection);
+            answer(connection, "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            assertFalse(result().shutOut());
+        }
+    }
+
+    @Test
+    void aLineThatComesBackAfterItsPeerWasDroppedIsClosedAsWell() throws Exception {
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, ANSWER);
+            assertEquals(200, result().status());
+            Calls.Line line = free.poll(30, TimeUnit.SECONDS); // on its way back when the turn hears of the answer
+            calls.dropIdle(peer);
+            calls.free(line, 0);
+            connection.setSoTimeout(30_000);
+            assertTrue(ends(connection));
+        }
+    }
+
+    private static boolean ends(Socket connection) throws IOException {
+        try {
+            return connection.getInputStream().read() < 0;
+        } catch (SocketException e) {
+            return true; // closed at once, by a reset
+        }
+    }
+
     @Test
     void aRefusedConnectionShowsThatNothingRan() throws Exception {
         InetSocketAddress nobody = address();
--- a/src/test/java/terndyke/node/stage/StageTest.java
+++ b/src/test/java/terndyke/node/stage/StageTest.java
@@ -240,6 +240,9 @@
         assertEquals(Ending.FULL, Send.ending(new Call.Result(429, null, 5, false, null, null)));
         assertEquals(Ending.FULL, Send.ending(new Call.Result(503, null, 0, false, null, null)));
         assertEquals(Ending.NOT_SENT, Send.ending(new Call.Result(503, null, 0, true, null, null)));
+        assertEquals(Ending.CROWDED, Send.ending(new Call.Result(503, null, 0, false, null, null, true)));
+        assertEquals(Ending.FULL, Send.ending(new Call.Result(503, null, 5, false, null, null, true)));
+        assertEquals(Ending.FULL, Send.ending(new Call.Result(429, null, 0, false, null, null, true)));
         assertEquals(Ending.NOT_SENT, Send.ending(new Call.Result(410, null, 0, false, null, null)));
         assertEquals(Ending.NOT_SENT, Send.ending(new Call.Result(504, null, 0, false, null, null)));
         for (int status : new int[] {100, 204, 302, 400, 404, 500, 599}) {
