Held connections serve what waits and go then; a crowded endpoint is asked again after rests

Two causes: Outcomes.gap counted tries that were turned away as use, so the most crowded endpoints were the ones whose connections were kept; and a connection was closed in the same turn in which a waiting record opened a new one to the same endpoint. Ruled out: lines on their way back when a call starts (0 of 2,087 new connections).

Change: Route counts the connections that it holds. A crowded route takes calls on those and is asked for another after about a call's mean, doubled up to three times. No new constant.

--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -20,6 +20,7 @@
     private final Map<Integer, Outcomes> halls = new HashMap<>();
     private final Map<Long, Route> routes = new LinkedHashMap<>();
     private final Set<Destination> busy = new LinkedHashSet<>(); // with calls out, or suspect
+    private final Set<Route> quiet = new LinkedHashSet<>(); // those whose connections may go after this turn
     private final Set<Addressee> queued = new LinkedHashSet<>(); // with records that wait
     private final Map<Long, Held> held = new HashMap<>();
     private final Map<Long, KeyLine> lines = new HashMap<>(), untold = new HashMap<>(); // by key; by record
@@ -45,6 +46,7 @@
             tick();
         }
         dispatch();
+        quiet.removeIf(this::makesRoom);
         if (!byEnd.isEmpty() && wakeAt <= now) {
             wakeAt = now + STEP;
             actions.add(new Action.Wake(STEP, 0));
@@ -204,12 +206,12 @@
         call.out--;
         if (!call.known) {
             call.known = true;
+            route.ended(call, ended.ending(), now);
             if (ended.ending() != Ending.NOT_SENT && (ended.ending() != Ending.RECALLED || shot.recalled)) {
                 route.learn(now, ended.ending(), ended.spent());
             }
-            if (ended.ending() == Ending.CROWDED && now - brokenAt >= terms.idleClose()) { // others need room too
-                routes.values().stream().filter(r -> r.outcomes.gap(now) > 2 * SOON)
-                        .forEach(r -> actions.add(new Action.DropConnections(r.endpoint)));
+            if (ended.ending() == Ending.CROWDED && now - brokenAt >= terms.idleClose()) {
+                quiet.addAll(routes.values()); // others need room there too
             }
             brokenAt = ended.ending().breaksConnection() ? now : brokenAt;
             route.destination.ended(call, ended.ending(), ended.waitTold(), now);
@@ -221,12 +223,23 @@
         if (call.out == 0) {
             slotsOut--;
             route.addressee.callsOut--;
-            if (now - brokenAt < terms.idleClose() && route.outcomes.gap(now) > 2 * SOON) {
-                actions.add(new Action.DropConnections(route.endpoint));
+            if (now - brokenAt < terms.idleClose()) {
+                quiet.add(route);
             }
         }
     }
 
+    /** Connections in rare use go, once no record that waits can go on them: each costs others a place there. */
+    private boolean makesRoom(Route route) {
+        boolean rare = now - route.endedAt > 2 * SOON || now == route.endedAt
+                && (route.outcomes.gap(now) > 2 * SOON || route.crowded(now, terms.idleClose()));
+        if (rare) {
+            route.open = route.out;
+            actions.add(new Action.DropConnections(route.endpoint));
+        }
+        return rare;
+    }
+
     private void tick() {
         lines.values().removeIf(line -> line.idle(now));
         routes.values().removeIf(route -> route.forgotten(now));
@@ -311,7 +324,8 @@
                 || 2 * sickOut >= terms.slots() && destination.sick(now) && !destination.suspect();
         return route.ready() && now + route.fit(now).m() < leavesAt
                 && (joinable(route) || !capped && slotsOut < terms.slots()
-                && (now >= route.restUntil || destination.suspect()) && destination.admits(now));
+                && (now >= route.restUntil || destination.suspect()) && route.hasRoom(now)
+                && destination.admits(now));
     }
 
     private boolean joinable(Route route) {
@@ -342,7 +356,7 @@
     private void fire(Held record, Route route) {
         if (!joinable(route)) {
             route.joinable = new Call(route, now);
-            route.calls++;
+            route.fired();
             route.destination.fired(route.joinable);
             busy.add(route.destination);
             slotsOut++;
--- a/src/main/java/terndyke/decision/Held.java
+++ b/src/main/java/terndyke/decision/Held.java
@@ -99,11 +99,13 @@
         final Route route;
         final long firedAt;
         int records, out; // records carried, and those without an outcome
+        final boolean opened; // it needed a new connection
         boolean known;
 
         Call(Route route, long firedAt) {
             this.route = route;
             this.firedAt = firedAt;
+            this.opened = route.out >= route.open;
         }
     }
 
--- a/src/main/java/terndyke/decision/Outcomes.java
+++ b/src/main/java/terndyke/decision/Outcomes.java
@@ -15,8 +15,10 @@
 
     private record Outcome(long at, long took, boolean done) { } // took: -1 where it says nothing of latency
 
+    /** The time between calls that got a connection. */
     long gap(long now) {
-        return kept.size() < 2 ? KEPT_FOR : (now - kept.getFirst().at) / (kept.size() - 1);
+        long served = kept.stream().filter(outcome -> outcome.took >= 0).count();
+        return served < 2 ? KEPT_FOR : (now - kept.getFirst().at) / (served - 1);
     }
 
     /** Refusals and errors count against r alone: their haste says nothing of latency. */
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -19,6 +19,11 @@
     long restUntil;
     final Outcomes outcomes = new Outcomes(), hall;
     int calls, failuresInRow;
+    /** Calls out here, and connections believed held; where an endpoint is crowded, no further one for a while. */
+    int out, open;
+    private int crowdedInRow;
+    long endedAt; // when a call here was last over
+    private long crowdedUntil;
     private long goneAt = Long.MAX_VALUE;
 
     Route(long endpoint, int zone, Addressee addressee, Destination destination, Outcomes hall) {
@@ -46,10 +51,36 @@
 
     void learn(long now, Ending ending, long spent) {
         outcomes.add(now, ending, spent);
+        if (ending == Ending.CROWDED) {
+            crowdedUntil = now + (destination.aboutOne(fit(now).m()) << crowdedInRow);
+            crowdedInRow = Math.min(3, crowdedInRow + 1);
+            return;
+        }
         hall.add(now, ending, spent);
         failuresInRow = ending == Ending.DONE || ending == Ending.FULL ? 0 : Math.min(3, failuresInRow + 1);
-        long rest = ending == Ending.CROWDED ? destination.aboutOne(fit(now).m()) : destination.firstRest();
-        restUntil = failuresInRow == 0 ? 0 : now + (rest << failuresInRow - 1);
+        restUntil = failuresInRow == 0 ? 0 : now + (destination.firstRest() << failuresInRow - 1);
+    }
+
+    /** A crowded endpoint takes calls on the connections that are held, and is asked for another after a rest. */
+    boolean hasRoom(long now) {
+        return out < open || now >= crowdedUntil;
+    }
+
+    boolean crowded(long now, long lately) {
+        return now - crowdedUntil < lately;
+    }
+
+    void fired() {
+        calls++;
+        open = Math.max(open, ++out);
+    }
+
+    void ended(Call call, Ending ending, long now) {
+        endedAt = now;
+        boolean answered = ending == Ending.DONE || ending == Ending.ERROR || ending == Ending.FULL;
+        crowdedInRow = ending == Ending.DONE && call.opened ? 0 : crowdedInRow;
+        out--;
+        open = Math.max(out, answered ? open : open - 1);
     }
 
     /** How long a call may run before it is overdue, by the latency of answers; few count for less. */
