--- a/src/main/java/terndyke/lab/emulate/Host.java
+++ b/src/main/java/terndyke/lab/emulate/Host.java
@@ -345,6 +345,12 @@
                     write("HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
                     ticker.at(Ticker.now(), () -> goOn(0));
                 }
+                case SHUT_OUT -> {
+                    see(What.CALL_ANSWERED, answer.status(), 0, 0);
+                    out = null;
+                    write(Message.bytes("HTTP/1.1 " + answer.status() + " -", "Connection: close\r\n", NOTHING));
+                    close();
+                }
                 default -> {
                     byte[] bytes = whole(answer);
                     see(What.CALL_ANSWERED, answer.status(), answer.toldWait(), 0);
--- a/src/main/java/terndyke/lab/model/Answer.java
+++ b/src/main/java/terndyke/lab/model/Answer.java
@@ -9,6 +9,8 @@
         /** The first line itself cannot be read. */
         SPOILT_LINE,
         /** The first line reads, what follows does not. */
-        SPOILT_REST, ENDLESS, DOUBLED
+        SPOILT_REST, ENDLESS, DOUBLED,
+        /** Whole, and the connection is closed behind it: there are too many. */
+        SHUT_OUT
     }
 }
--- a/src/main/java/terndyke/lab/model/Receiver.java
+++ b/src/main/java/terndyke/lab/model/Receiver.java
@@ -184,8 +184,10 @@
 
     private void enter(long now, Shot shot) {
         long handshake = shot.firstOnConnection ? site.told.handshake().micros() : 0;
-        if (is(Kind.SHUT) || shutForGood || connections > site.told.connections()) {
+        if (is(Kind.SHUT) || shutForGood) {
             refuse(now + handshake, shot, 503, 0);
+        } else if (shot.firstOnConnection && connections > site.told.connections()) {
+            add(now + handshake + 200, shot, answer(now, shot, 503, 0, Manner.SHUT_OUT), false);
         } else if (!allowance.take(now)) {
             boolean tells = chance.nextDouble() < site.told.limit().tellsWait();
             long wait = Math.max(site.told.limit().toldWait().micros(), allowance.freeAt(now) - now);
--- a/src/test/java/terndyke/lab/model/ReceiverTest.java
+++ b/src/test/java/terndyke/lab/model/ReceiverTest.java
@@ -137,6 +137,18 @@
         assertEquals(1, heard.dropped, "a memory that is lost drops nothing");
     }
 
+    @Test
+    void aConnectionBeyondTheBoundIsShutOutAndOneThatIsHeldGoesOnServing() {
+        Receiver receiver = receiver(new Destinations("shop", 1, 2, false, 8, 8, TEN_MS, null, 1, null, null, false, null));
+        receiver.connect();
+        receiver.connect();
+        receiver.arrived(0, new Shot("new", null, 0, null, true));
+        receiver.arrived(0, new Shot("held", null, 0, null, false));
+        receiver.advance(30_000);
+        assertEquals(List.of(503, 200), statuses());
+        assertEquals(Answer.Manner.SHUT_OUT, heard.answers.get(0).manner());
+    }
+
     @Test
     void aHungReceiverAnswersLateWhoStillWaits() {
         Receiver receiver = receiver(shop(8, 8, TEN_MS, null, null));
