A notice call holds as many ends as its body may, so that a returning node tells them in time

Followed by number through both lives (taken, end decided, notice answered): the ends are decided in time, but for a second and more after a restart a notice is answered 380 to 780 ms after its end was decided; record 785 was bounced 14 ms before its time and told 773 ms after it. The protocol's slack is 300 ms. The node came back with 815 records, the backlog went out 64 to a call, one call at a time, each taking 150 to 200 ms on half a core of a cold process.

Lines at fault: Relay.notices, the first 64 of what is owed. Change: lines are added until the body is full (64 KiB by the protocol, about 1,000 ends). Where the platform cannot read one of many, halves are sent until it stands alone; before, such a batch was resent for ever. May hurt a platform that takes long to read large bodies. Test: hundredsOfNoticesGoInOneCallAndNoMoreThanABodyHolds.

--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -7,7 +7,7 @@
 public record Limits(
         int bodyBytes, int answerBytes, int lineBytes, int headers, int idChars, int bufferBytes,
         int clientConnections, int spareConnections, int backlog, int endpointConnections, int probes,
-        int inbox, int wordsATurn, int records, long heldBytes, int remembered, int noticesTogether,
+        int inbox, int wordsATurn, int records, long heldBytes, int remembered,
         long journalBytes, long journalReserve,
         long connectTimeout, long idleClose, long lineRest, long restOfAnswer,
         long halfRequest, long firstRequest, long clientIdle, long idleAtLeast, long silentFor, long silentAtLeast,
@@ -28,7 +28,7 @@
         int remembered = (int) Math.min(16 * 1024, disk / 8 / 160);
         return new Limits(64 << 10, 2 << 20, 8 << 10, 64, 200, 4 << 10,
                 clients * 7 / 8, clients / 8, 256, calls, Math.max(4, calls / 8),
-                1024, 256, holdingRoom, memoryMb * 1_000_000L / 8, remembered, 64,
+                1024, 256, holdingRoom, memoryMb * 1_000_000L / 8, remembered,
                 disk, disk / 8,
                 connectTimeout, idleClose <= 0 ? 0 : idleClose * 4 / 5, 10_000, 1_000_000,
                 2_000_000, 2_600_000, 3_000_000, 2_000_000, 2_100_000, 50_000, 8, 8 << 20, 350_000,
--- a/src/main/java/terndyke/node/stage/Relay.java
+++ b/src/main/java/terndyke/node/stage/Relay.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -32,6 +33,7 @@
     private long round;
     private boolean out;
     private boolean silent;
+    private int together = Integer.MAX_VALUE; // notices in one call at most
     private Calls.Line line;
     private long restUntil;
 
@@ -95,14 +97,17 @@
         return !owing.isEmpty();
     }
 
-    /** Sends what is owed, a number of notices in one call and one call at a time. */
+    /**
+     * Sends what is owed, as many notices in one call as a body holds and one call at a time. Guards against a node that
+     * is back with hundreds of ends to tell and little CPU: each call takes it a tenth of a second and more, and at 64
+     * notices a call the last ones came too late. Where one of many cannot be read, halves are sent until it stands alone.
+     */
     void notices(long now) {
         if (out || owing.isEmpty() || now < restUntil) {
             return;
         }
-        List<Owed> batch = new ArrayList<>(owing).subList(0, Math.min(owing.size(), limits.noticesTogether()));
         StringBuilder lines = new StringBuilder();
-        batch.forEach(owed -> lines.append(line(owed)).append('\n'));
+        List<Owed> batch = batch(owing, together, limits.bodyBytes(), lines);
         byte[] body = lines.toString().getBytes(StandardCharsets.UTF_8);
         Call call = new Call("POST", "/v2/finals", new String[] {"Host", platform.host(),
             "Content-Type", "application/json", "Content-Length", Integer.toString(body.length)}, body);
@@ -122,6 +127,20 @@
         });
     }
 
+    /** The first ones whose lines fit into so many bytes, one at least and so many at most. */
+    static List<Owed> batch(Collection<Owed> owing, int most, int bytes, StringBuilder lines) {
+        List<Owed> batch = new ArrayList<>();
+        for (Owed owed : owing) {
+            String line = line(owed) + "\n";
+            if (!batch.isEmpty() && (batch.size() == most || lines.length() + line.length() > bytes)) {
+                break;
+            }
+            lines.append(line);
+            batch.add(owed);
+        }
+        return batch;
+    }
+
     /** From now on notices go to another address; those not yet answered go there again. */
     void moveTo(InetSocketAddress address) {
         if (!address.equals(platform.address())) {
@@ -174,6 +193,7 @@
         int status = noticed.result().status();
         if (status == 204 || status == 200) {
             noticed.told().forEach(this::told);
+            together = Integer.MAX_VALUE;
             if (silent) {
                 silent = false;
                 log.info("notices are answered again, " + owing.size() + " owed");
@@ -182,6 +202,7 @@
             log.warn("notice cannot be read by the platform: " + line(noticed.told().get(0)));
             noticed.told().forEach(this::told);
         } else {
+            together = status == 400 ? Math.max(1, noticed.told().size() / 2) : together;
             unanswered("status " + status, now);
         }
     }
--- a/src/test/java/terndyke/node/stage/StageTest.java
+++ b/src/test/java/terndyke/node/stage/StageTest.java
@@ -275,6 +275,23 @@
         assertEquals("{\"ref\":\"a\\\"b\\\\c\\u0007\",\"result\":\"bounced\",\"wait_ms\":500}", Relay.line(owed));
     }
 
+    @Test
+    void hundredsOfNoticesGoInOneCallAndNoMoreThanABodyHolds() {
+        List<Owed> owing = new ArrayList<>();
+        for (int i = 0; i < 2_000; i++) {
+            Owed owed = takeIn.take(handover(String.format("%016x", i), 3, 1, NOW));
+            owed.end = Entry.End.BOUNCED;
+            owing.add(owed);
+        }
+        StringBuilder lines = new StringBuilder();
+        List<Owed> batch = Relay.batch(owing, Integer.MAX_VALUE, limits.bodyBytes(), lines);
+        assertTrue(batch.size() > 800, "in one call: " + batch.size());
+        assertTrue(lines.length() <= limits.bodyBytes() && lines.length() > limits.bodyBytes() - 100);
+        assertEquals(owing.subList(0, batch.size()), batch);
+        assertEquals(3, Relay.batch(owing, 3, limits.bodyBytes(), new StringBuilder()).size());
+        assertEquals(1, Relay.batch(owing, 3, 10, new StringBuilder()).size(), "one goes, however long");
+    }
+
     @Test
     void timersRunInOrderOfTime() {
         Timers timers = new Timers();
