All connections are closed only where half of the routes in use are crowded, else where it shows

In a fleet of a hundred nearly every endpoint is crowded, in a fleet of two a few are. Change: Dispatcher.crowdedWidely. One crowded endpoint closes its own connections; all of them are closed once half of the routes used lately are crowded. Test: oneCrowdedEndpointOfManyClosesConnectionsThereAlone.

--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -210,10 +210,11 @@
             if (ended.ending() != Ending.NOT_SENT && (ended.ending() != Ending.RECALLED || shot.recalled)) {
                 route.learn(now, ended.ending(), ended.spent());
             }
-            if (ended.ending() == Ending.CROWDED && now - brokenAt >= terms.idleClose()) {
+            if (ended.ending() == Ending.CROWDED && crowdedWidely() && now - brokenAt >= terms.idleClose()) {
                 quiet.addAll(routes.values()); // others need room there too
             }
-            brokenAt = ended.ending().breaksConnection() ? now : brokenAt;
+            brokenAt = ended.ending().breaksConnection()
+                    && (ended.ending() != Ending.CROWDED || crowdedWidely()) ? now : brokenAt;
             route.destination.ended(call, ended.ending(), ended.waitTold(), now);
             busy.add(route.destination);
         }
@@ -223,16 +224,26 @@
         if (call.out == 0) {
             slotsOut--;
             route.addressee.callsOut--;
-            if (now - brokenAt < terms.idleClose()) {
+            if (now - brokenAt < terms.idleClose() || crowded(route)) {
                 quiet.add(route);
             }
         }
     }
 
+    private boolean crowded(Route route) {
+        return route.crowded(now, terms.idleClose());
+    }
+
+    /** Half of the routes in use: then room is short at the others too, and else only where it shows. */
+    private boolean crowdedWidely() {
+        return 2 * routes.values().stream().filter(this::crowded).count()
+                >= routes.values().stream().filter(route -> now - route.endedAt < terms.idleClose()).count();
+    }
+
     /** Connections in rare use go, once no record that waits can go on them: each costs others a place there. */
     private boolean makesRoom(Route route) {
         boolean rare = now - route.endedAt > 2 * SOON || now == route.endedAt
-                && (route.outcomes.gap(now) > 2 * SOON || route.crowded(now, terms.idleClose()));
+                && (route.outcomes.gap(now) > 2 * SOON || crowded(route));
         if (rare) {
             route.open = route.out;
             actions.add(new Action.DropConnections(route.endpoint));
--- a/src/test/java/terndyke/decision/DispatcherTest.java
+++ b/src/test/java/terndyke/decision/DispatcherTest.java
@@ -381,6 +381,20 @@
         assertTrue(actions.contains(new Action.DropConnections(11)));
     }
 
+    @Test
+    void oneCrowdedEndpointOfManyClosesConnectionsThereAlone() {
+        Dispatcher dispatcher = dispatcher(terms(false, true, 100), 0);
+        dispatcher.turn(START, List.of(new Event.ListTold(List.of(
+                new ListedEndpoint(13, 0, 0, 0, Standing.READY, 0, 2)), false)));
+        dispatcher.turn(START, List.of(taken(1, Given.IDEMPOTENT), taken(2, Given.IDEMPOTENT),
+                taken(3, Given.IDEMPOTENT, 0, 2)));
+        dispatcher.turn(START + 100_000, List.of(ended(1, 0, 11, Ending.DONE, 0), ended(3, 0, 13, Ending.DONE, 0)));
+        List<Action> actions = new ArrayList<>(dispatcher.turn(START + 200_000,
+                List.of(ended(2, 0, 12, Ending.CROWDED, 0))));
+        actions.addAll(wakeUntil(dispatcher, START + 210_000, START + 1_500_000));
+        assertEquals(List.of(new Action.DropConnections(12)), only(Action.DropConnections.class, actions));
+    }
+
     @Test
     void aFirstCrowdedCallClosesWhatIsRarelyUsedEverywhere() {
         Dispatcher dispatcher = dispatcher(terms(false, true, 100), 0);
