--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -210,11 +210,12 @@
             if (ended.ending() != Ending.NOT_SENT && (ended.ending() != Ending.RECALLED || shot.recalled)) {
                 route.learn(now, ended.ending(), ended.spent());
             }
-            if (ended.ending() == Ending.CROWDED && crowdedWidely() && now - brokenAt >= terms.idleClose()) {
+            boolean crowded = ended.ending() == Ending.CROWDED;
+            boolean broken = ended.ending().breaksConnection() && (!crowded || crowdedWidely());
+            if (crowded && broken && now - brokenAt >= terms.idleClose()) {
                 quiet.addAll(routes.values()); // others need room there too
             }
-            brokenAt = ended.ending().breaksConnection()
-                    && (ended.ending() != Ending.CROWDED || crowdedWidely()) ? now : brokenAt;
+            brokenAt = broken ? now : brokenAt;
             route.destination.ended(call, ended.ending(), ended.waitTold(), now);
             busy.add(route.destination);
         }
@@ -240,7 +241,7 @@
                 >= routes.values().stream().filter(route -> now - route.endedAt < terms.idleClose()).count();
     }
 
-    /** Connections in rare use go, once no record that waits can go on them: each costs others a place there. */
+    /** Connections in rare use go, once no record that waits can go on them: each costs others a place. */
     private boolean makesRoom(Route route) {
         boolean rare = now - route.endedAt > 2 * SOON || now == route.endedAt
                 && (route.outcomes.gap(now) > 2 * SOON || crowded(route));
--- a/src/main/java/terndyke/decision/Outcomes.java
+++ b/src/main/java/terndyke/decision/Outcomes.java
@@ -15,7 +15,7 @@
 
     private record Outcome(long at, long took, boolean done) { } // took: -1 where it says nothing of latency
 
-    /** The time between calls that got a connection. */
+    /** The time between calls whose wait counts: tries that were turned away are no use of a connection. */
     long gap(long now) {
         long served = kept.stream().filter(outcome -> outcome.took >= 0).count();
         return served < 2 ? KEPT_FOR : (now - kept.getFirst().at) / (served - 1);
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -19,7 +19,7 @@
     long restUntil;
     final Outcomes outcomes = new Outcomes(), hall;
     int calls, failuresInRow;
-    /** Calls out here, and connections believed held; where an endpoint is crowded, no further one for a while. */
+    /** Calls out here, and connections believed held; none is added for a while where it is crowded. */
     int out, open;
     private int crowdedInRow;
     long endedAt; // when a call here was last over
@@ -61,7 +61,7 @@
         restUntil = failuresInRow == 0 ? 0 : now + (destination.firstRest() << failuresInRow - 1);
     }
 
-    /** A crowded endpoint takes calls on the connections that are held, and is asked for another after a rest. */
+    /** A crowded endpoint takes calls on the connections held, and is asked for another after a rest. */
     boolean hasRoom(long now) {
         return out < open || now >= crowdedUntil;
     }
