--- a/src/main/java/terndyke/Main.java
+++ b/src/main/java/terndyke/Main.java
@@ -45,6 +45,8 @@
         private String discovery;
         @Parameter(names = "--state", description = "the folder that lasts; else NODE_STATE")
         private String state = System.getenv("NODE_STATE");
+        @Parameter(names = "--trace", description = "log each record, shot, probe and list; lab fleet reads it")
+        private boolean trace;
     }
 
     @Parameters(commandDescription = "answer the bench's wire on standard input and output")
@@ -93,7 +95,7 @@
         try {
             Charter.Place place = new Charter.Place(serve.config, serve.name, serve.listen, serve.discovery, serve.state);
             Charter charter = Charter.read(place);
-            DeliveryNode node = new DeliveryNode(charter, new NodeLog(System.out, charter.name()));
+            DeliveryNode node = new DeliveryNode(charter, new NodeLog(System.out, charter.name(), serve.trace));
             // one at a time, and one more that waits: whatever comes beside these reads the same file
             ThreadPoolExecutor rereads = new ThreadPoolExecutor(0, 1, 1, TimeUnit.SECONDS, new ArrayBlockingQueue<>(1),
                     work -> new Thread(work, "terndyke-reread"), new ThreadPoolExecutor.DiscardPolicy());
--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -21,7 +21,7 @@
     /** Calls done in about a span, now and at best; the learned pace in calls a second, its allowance. */
     private double served, best, pace = Double.POSITIVE_INFINITY, credit = 1;
     /** When a call was last done or failed, an outage suspected, its end seen; or -1. */
-    private long creditAt, paceAt, okAt = -1, failedAt = -1, suspectAt = -1, cleanAt = -1;
+    private long creditAt, paceAt, cutAt, okAt = -1, failedAt = -1, suspectAt = -1, cleanAt = -1;
     private boolean probeGood;
     long waitUntil;
 
@@ -144,7 +144,7 @@
         double byChance = Math.min(Math.sqrt(served), 1.44 * Math.log(terms.nodes())); // at one of so many
         best = Math.max(suspect() ? best : 0.98 * best, served - byChance);
         okAt = now;
-        pace *= 1.1;
+        pace += 0.1 * Math.min(pace, Math.max(1, (double) (now - cutAt) / terms.fallSpan()));
         fine++;
         if (down()) {
             cleanAt = now;
@@ -170,7 +170,6 @@
 
     private void refused(long wait, long now) {
         refusedInRow = Math.min(6, refusedInRow + (now < waitUntil ? 0 : 1)); // together: once
-        waitUntil = Math.max(waitUntil, now + wait + (firstRest() << Math.max(0, refusedInRow - 2)));
         if (wait > 2 * terms.fallSpan() || refusedInRow >= 6) {
             cleanAt = -1;
             failedAt = now;
@@ -179,8 +178,11 @@
             double known = Math.max(limitTold, listedRate / LISTED_HIGH) / terms.nodes();
             double seen = Math.max(1e6 * served(now) / terms.fallSpan(), 1.2 * known);
             pace = Math.max(Math.max(0.1, 1.0 / terms.nodes()), 0.7 * Math.min(pace(now), seen));
+            cutAt = now;
             paceAt = now + 500_000;
         }
+        long rest = Math.min(firstRest(), aboutOne(1e6 / pace));
+        waitUntil = Math.max(waitUntil, now + wait + (rest << Math.max(0, refusedInRow - 2)));
     }
 
     /** Silence is noticed before any call times out: calls overdue with no answer since, twice if far. */
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -67,7 +67,7 @@
         route = new Route(new Dispatcher(charter.terms()));
         takeIn = new TakeIn(book.lastNumber());
         admit = new Admit(limits, counters, catalogue, book);
-        send = new Send(limits, counters, catalogue, calls, route, book, timers, charter.reportFields(), this);
+        send = new Send(limits, counters, catalogue, calls, route, book, timers, charter.reportFields(), log, this);
         relay = new Relay(limits, counters, charter.discovery(), calls, route, book, timers, log, this);
         watch = new Watch(limits, charter.discovery(), catalogue, calls, log,
                 (round, result) -> post(new Word.Watched(round, result)));
@@ -189,6 +189,7 @@
             Event told = watch.answered(watched.round(), watched.result(), now);
             if (told != null) {
                 counters.add(Count.LISTS_TOLD);
+                log.trace(now, "list", ((Event.ListTold) told).entries().size());
                 route.tell(told);
                 catalogue.left().forEach(calls::left);
             }
--- a/src/main/java/terndyke/node/stage/Relay.java
+++ b/src/main/java/terndyke/node/stage/Relay.java
@@ -53,18 +53,21 @@
     /** Tells the client that its record is taken on; it has been booked. */
     void taken(Owed owed) {
         counters.add(Count.TAKEN);
+        trace("taken", owed);
         answer(owed).taken();
     }
 
     /** Tells the client that its record is not taken on. */
     void refused(Owed owed, long after) {
         counters.add(Count.BOUNCED_AT_ONCE);
+        trace("refused", owed);
         answer(owed).refused(after);
         route.tell(new Event.EndTold(owed.taken.number()));
     }
 
     /** Tells the client that its record was given up in the turn of its taking. */
     void failed(Owed owed) {
+        trace("failed", owed);
         answer(owed).failed(500);
         route.tell(new Event.EndTold(owed.taken.number()));
     }
@@ -81,6 +84,15 @@
             book.ended(owed, end, wait);
             counters.add(end == Entry.End.BOUNCED ? Count.ENDED_BOUNCED : Count.ENDED_TERMINATED);
             owing.add(owed);
+            trace(end == Entry.End.BOUNCED ? "bounced" : "terminated", owed);
+        }
+    }
+
+    private void trace(String verb, Owed owed) {
+        if (log.tracing()) {
+            Entry.Taken taken = owed.taken;
+            log.trace(desk.now(), verb, taken.number(), taken.id(), taken.grade(), taken.destination(),
+                    taken.abandonAt() - desk.now(), owed.shots.size());
         }
     }
 
--- a/src/main/java/terndyke/node/stage/Send.java
+++ b/src/main/java/terndyke/node/stage/Send.java
@@ -9,6 +9,7 @@
 import terndyke.node.Counters;
 import terndyke.node.Counters.Count;
 import terndyke.node.Limits;
+import terndyke.node.NodeLog;
 import terndyke.node.discovery.Catalogue;
 import terndyke.node.http.Call;
 import terndyke.node.http.Calls;
@@ -27,11 +28,12 @@
     private final Book book;
     private final Timers timers;
     private final List<String> reportFields;
+    private final NodeLog log;
     private final Desk desk;
     private int probesOut;
 
     public Send(Limits limits, Counters counters, Catalogue catalogue, Calls calls, Route route, Book book,
-            Timers timers, List<String> reportFields, Desk desk) {
+            Timers timers, List<String> reportFields, NodeLog log, Desk desk) {
         this.limits = limits;
         this.counters = counters;
         this.catalogue = catalogue;
@@ -40,6 +42,7 @@
         this.book = book;
         this.timers = timers;
         this.reportFields = reportFields;
+        this.log = log;
         this.desk = desk;
     }
 
@@ -67,6 +70,7 @@
             return;
         }
         counters.add(Count.SHOTS);
+        long opened = log.tracing() ? counters.of(Count.CONNECTIONS_OPENED) : 0;
         shot.line = calls.start(member.peer(), call(owed, member.peer(), notPast - now, shoot.startBy()), now,
                 result -> desk.post(new Word.ShotOver(owed, shot, endpoint, result, desk.now())));
         if (shot.line == null) {
@@ -74,6 +78,10 @@
         } else {
             timers.at(notPast, () -> giveUp(owed, shot, endpoint, Ending.TIMED_OUT));
         }
+        if (log.tracing()) {
+            log.trace(now, "shot", owed.taken.number(), shot.number, member.uid(), member.destination(),
+                    counters.of(Count.CONNECTIONS_OPENED) > opened ? "new" : "kept");
+        }
     }
 
     private static Call call(Owed owed, Calls.Peer peer, long wait, long startBy) {
@@ -119,6 +127,10 @@
     private void over(Owed owed, Owed.Shot shot, long endpoint, Ending ending, long at, long wait, boolean noSlot,
             float[] report) {
         counters.add(Count.valueOf(ending.name()));
+        if (log.tracing()) {
+            log.trace(at, "over", owed.taken.number(), shot.number, shot.endpoint, owed.taken.destination(), ending,
+                    at - shot.firedAt, wait);
+        }
         boolean wasOver = owed.end != null;
         if (ending == Ending.DONE && !wasOver) {
             shot.ending = ending;
@@ -192,6 +204,7 @@
         }
         probesOut++;
         counters.add(Count.PROBES);
+        log.trace(now, "probe", member.uid(), member.destination());
         timers.at(now + limits.probeTimeout(), () -> {
             if (!probing.over) {
                 calls.cancel(probing.line);
@@ -210,6 +223,7 @@
     private void over(Probing probing, Ending ending, long at, float[] report) {
         probing.over = true;
         probesOut--;
+        log.trace(at, "probed", probing.member.uid(), probing.member.destination(), ending, at - probing.firedAt);
         route.tell(new Event.ProbeEnded(probing.member.number(), ending, Math.max(0, at - probing.firedAt), report));
     }
 
