--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -116,8 +116,7 @@
     /** Rule 6: a wait told by any outcome binds all that follows. */
     void told(long now, long wait, float[] report) {
         waitUntil = Math.max(waitUntil, now + wait);
-        limitTold = terms.limitAt() < 0 || terms.limitAt() >= report.length ? limitTold
-                : report[terms.limitAt()];
+        limitTold = terms.limitAt() >= 0 && terms.limitAt() < report.length ? report[terms.limitAt()] : limitTold;
     }
 
     void ended(Call call, Ending ending, long wait, long now) {
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -1,6 +1,7 @@
 package terndyke.decision;
 
 import java.util.*;
+import java.util.function.Predicate;
 
 import terndyke.api.*;
 import terndyke.decision.Held.*;
@@ -30,7 +31,7 @@
     private final Map<Integer, Kind> kinds = new HashMap<>();
     private List<Action> actions;
     private final int[] sent = new int[2], lost = new int[2]; // calls on new connections, on kept; halved
-    private long now, wakeAt, sweepAt, asksAt, leavesAt = Long.MAX_VALUE;
+    private long now, wakeAt, asksAt, leavesAt = Long.MAX_VALUE;
     private int slotsOut, sickOut, failedAsks; // calls out, in all and at sick destinations; for the list
     private double copyCredit;
 
@@ -226,7 +227,7 @@
             }
             if (keptAreLost(call, ended.ending(), shot.recalled)
                     || ended.ending() == Ending.CROWDED && crowdedWidely()) {
-                closes(kinds.values());
+                closes(r -> true);
             }
             lookForRoom(route, ended.ending());
             route.destination.ended(call, ended.ending(), ended.waitTold(), now);
@@ -248,7 +249,7 @@
     private void lookForRoom(Route route, Ending ending) {
         Kind kind = route.addressee.kind;
         if (ending == Ending.DONE && now - route.destination.unconnectedAt < Destination.FULL_FOR) {
-            closes(List.of(kind));
+            closes(r -> r.addressee.kind == kind);
         } else if (ending == Ending.NOT_CONNECTED && terms.probes() && route.ready()
                 && now >= Math.max(route.destination.waitUntil, Math.max(kind.asksAt, kind.closesUntil))) {
             kind.asksAt = now + Destination.FULL_FOR;
@@ -260,16 +261,22 @@
     private boolean keptAreLost(Call call, Ending ending, boolean late) {
         boolean gone = ending == Ending.RESET || ending == Ending.TIMED_OUT
                 || late && ending == Ending.RECALLED;
-        int kept = call.opened ? 0 : 1, part = sent[kept] > Outcomes.KEPT ? 2 : 1;
-        lost[kept] = (lost[kept] + (gone ? 1 : 0)) / part;
-        sent[kept] = (sent[kept] + (gone || ending == Ending.DONE ? 1 : 0)) / part;
+        int kept = call.opened ? 0 : 1;
+        lost[kept] += gone ? 1 : 0;
+        sent[kept] += gone || ending == Ending.DONE ? 1 : 0;
+        for (int i = 0; sent[kept] > Outcomes.KEPT && i < 2; i++) {
+            lost[i] /= 2;
+            sent[i] /= 2;
+        }
         return gone && kept == 1 && lost[1] >= 2 && lost[1] * (1 + sent[0]) > 2 * (1 + lost[0]) * sent[1];
     }
 
     /** Connections in rare use close at once for a while: others need the room, or idle ones are dropped. */
-    private void closes(Collection<Kind> which) {
-        which.forEach(kind -> kind.closesUntil = now + Outcomes.KEPT_FOR);
-        routes.values().stream().filter(route -> which.contains(route.addressee.kind)).forEach(quiet::add);
+    private void closes(Predicate<Route> which) {
+        routes.values().stream().filter(which).forEach(route -> {
+            quiet.add(route);
+            route.addressee.kind.closesUntil = now + Outcomes.KEPT_FOR;
+        });
     }
 
     /** Half of the routes in use: then room is short at the others too, and else only where it shows. */
@@ -291,10 +298,7 @@
 
     private void tick() {
         lines.values().removeIf(line -> line.idle(now));
-        if (now >= sweepAt) {
-            sweepAt = now + Outcomes.KEPT_FOR / 60;
-            routes.values().removeIf(route -> route.forgotten(now));
-        }
+        routes.values().removeIf(route -> route.forgotten(now));
         busy.removeIf(target -> target.out.isEmpty() && (!target.suspect() || target.routes.isEmpty()));
         long out = busy.stream().filter(destination -> !destination.out.isEmpty()).count();
         long late = busy.stream().filter(destination -> destination.overdue(now) > 0).count();
--- a/src/main/java/terndyke/decision/Outcomes.java
+++ b/src/main/java/terndyke/decision/Outcomes.java
@@ -28,11 +28,6 @@
         fit = null;
     }
 
-    /** The served fraction, with so many outcomes beside that were served in this fraction. */
-    double served(int beside, double fraction) {
-        return (answers + beside * fraction) / (kept.size() + beside);
-    }
-
     /** The shifted exponential of the kept outcomes, or null where none answered or was waited for. */
     RoutePicker.Fit fit(long now) {
         while (!kept.isEmpty() && (kept.size() > KEPT || kept.getFirst().at < now - KEPT_FOR)) {
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -19,9 +19,10 @@
     /** Rests after failures, so that one bad endpoint of several costs few shots; hurts if all fail. */
     long restUntil;
     final Outcomes outcomes = new Outcomes(), hall;
-    int calls, failuresInRow, crowdedInRow;
+    int calls, failuresInRow;
     /** Calls out here, and connections believed held; none is added for a while where it is crowded. */
     int out, open;
+    private int crowdedInRow;
     long endedAt; // when a call here was last over
     private long crowdedUntil;
     private long goneAt = Long.MAX_VALUE;
@@ -93,12 +94,9 @@
         return (long) Math.max(OVERDUE_LEAST, fit.t() + 9 * spread);
     }
 
-    /** Quiet nodes know next to no route: the destination's others, or its hall's, stand in for t and m, and
-     * its hall counts as two outcomes of r. */
+    /** Until it has outcomes of its own, a route takes its hall's fit: quiet nodes know next to no route. */
     Fit fit(long now) {
-        Fit own = outcomes.fit(now), all = hall.fit(now);
-        Fit near = own != null ? own : addressee.outcomes.fit(now), base = near != null ? near : all;
-        return all == null ? base != null ? base : UNKNOWN
-                : new Fit(base.t(), base.m(), outcomes.served(2, all.r()));
+        Fit own = outcomes.fit(now), near = own != null ? own : addressee.outcomes.fit(now);
+        return near != null ? near : hall.fit(now) != null ? hall.fit(now) : UNKNOWN;
     }
 }
--- a/src/main/java/terndyke/decision/RoutePicker.java
+++ b/src/main/java/terndyke/decision/RoutePicker.java
@@ -47,11 +47,13 @@
         double bestReliability = -1, bestIndex = -1;
         for (int set = 1; set < 1 << fits.length; set++) {
             int members = set;
-            int[] in = IntStream.range(0, fits.length).filter(i -> (members >> i & 1) != 0).toArray();
-            double cost = Arrays.stream(in).mapToDouble(i -> prices[i]).sum();
-            double lost = Arrays.stream(in).mapToDouble(i -> 1 - fits[i].r()).reduce(1, (x, y) -> x * y);
-            if (in.length <= calls && cost <= budget) {
-                Latency answer = latency(Arrays.stream(in).mapToObj(i -> fits[i]).toArray(Fit[]::new));
+            Fit[] chosen = IntStream.range(0, fits.length).filter(i -> (members >> i & 1) != 0)
+                    .mapToObj(i -> fits[i]).toArray(Fit[]::new);
+            double lost = Arrays.stream(chosen).mapToDouble(fit -> 1 - fit.r()).reduce(1, (a, b) -> a * b);
+            double cost = IntStream.range(0, fits.length).filter(i -> (members >> i & 1) != 0)
+                    .mapToDouble(i -> prices[i]).sum();
+            if (chosen.length <= calls && cost <= budget) {
+                Latency answer = latency(chosen);
                 double index = (1 + targetL / answer.mean()) * (1 + targetT / answer.tail());
                 double reliability = Math.min(1 - lost, leastReliability); // above R-hat the index decides
                 if (reliability > bestReliability || reliability == bestReliability && index > bestIndex) {
