--- a/src/main/java/terndyke/Main.java
+++ b/src/main/java/terndyke/Main.java
@@ -13,6 +13,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
@@ -68,6 +69,7 @@
         if (arguments.length > 0 && arguments[0].equals("lab")) {
             System.exit(lab(Arrays.copyOfRange(arguments, 1, arguments.length)));
         }
+        CompletableFuture<Runnable> reread = arguments.length > 0 && arguments[0].equals("serve") ? hearHangups() : null;
         Serve serve = new Serve();
         JCommander commands = JCommander.newBuilder().programName("terndyke").addCommand("serve", serve)
                 .addCommand("adapter", new Adapter())
@@ -80,7 +82,7 @@
             System.exit(BAD_USAGE);
         }
         switch (String.valueOf(commands.getParsedCommand())) {
-            case "serve" -> serve(serve);
+            case "serve" -> serve(serve, reread);
             case "adapter" -> System.exit(adapter());
             case "version" -> System.out.println("terndyke " + Main.class.getPackage().getImplementationVersion());
             case "help" -> commands.usage();
@@ -91,15 +93,33 @@
         }
     }
 
-    private static void serve(Serve serve) {
+    /**
+     * SIGHUP is heard from the first moment on, or it would end a process that is still starting: what comes before there
+     * is a node is told to it as soon as there is one. One at a time, and one more that waits: whatever comes beside these
+     * reads the same file.
+     */
+    private static CompletableFuture<Runnable> hearHangups() {
+        CompletableFuture<Runnable> reread = new CompletableFuture<>();
+        ThreadPoolExecutor rereads = new ThreadPoolExecutor(0, 1, 1, TimeUnit.SECONDS, new ArrayBlockingQueue<>(1), work -> {
+            Thread thread = new Thread(work, "terndyke-reread");
+            thread.setDaemon(true);
+            return thread;
+        }, new ThreadPoolExecutor.DiscardPolicy());
+        try {
+            Signals.on("HUP", () -> rereads.execute(() -> reread.join().run()));
+        } catch (IOException e) {
+            System.err.println("terndyke: " + e.getMessage());
+            System.exit(BAD_INPUT);
+        }
+        return reread;
+    }
+
+    private static void serve(Serve serve, CompletableFuture<Runnable> reread) {
         try {
             Charter.Place place = new Charter.Place(serve.config, serve.name, serve.listen, serve.discovery, serve.state);
             Charter charter = Charter.read(place);
             DeliveryNode node = new DeliveryNode(charter, new NodeLog(System.out, charter.name(), serve.trace));
-            // one at a time, and one more that waits: whatever comes beside these reads the same file
-            ThreadPoolExecutor rereads = new ThreadPoolExecutor(0, 1, 1, TimeUnit.SECONDS, new ArrayBlockingQueue<>(1),
-                    work -> new Thread(work, "terndyke-reread"), new ThreadPoolExecutor.DiscardPolicy());
-            Signals.on("HUP", () -> rereads.execute(() -> node.reread(place)));
+            reread.complete(() -> node.reread(place));
             Thread close = new Thread(() -> {
                 node.close();
                 Runtime.getRuntime().halt(0);
--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -1,6 +1,7 @@
 package terndyke.node;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -24,9 +25,11 @@
     private Reactor reactor;
     private Journal journal;
     private volatile Door door; // the last part to come at the start
-    private Desk desk;
+    private volatile Desk desk;
     private Thread thread;
     private volatile boolean ready;
+    private volatile boolean leaving;
+    private volatile InetSocketAddress movedTo; // as read again, or null
 
     public DeliveryNode(Charter charter, NodeLog log) {
         this.charter = charter;
@@ -58,19 +61,32 @@
         reactor = new Reactor(limits, counters, log);
         reactor.start();
         desk = new Desk(charter, reactor, catalogue, book, clock, counters, log);
+        if (movedTo != null) {
+            desk.post(new Word.Moved(movedTo)); // read again before there was a desk to tell
+        }
         desk.restore(known, owed);
         thread = new Thread(desk, "terndyke-desk");
         thread.start();
-        door = new Door(limits, counters, charter.grades(), charter.tenants(), clock::now, () -> ready,
+        door = new Door(limits, counters, charter.grades(), charter.tenants(), clock::now, () -> ready && !leaving,
                 desk::handOver, handover -> desk.post(new Word.Left(handover)));
         reactor.listen(charter.listen(), door);
         Rehearsal.talk(charter, reactor, clock, charter.listen(), limits.rehearse());
+        awaitBegun(limits.startWithin());
         ready = true;
         log.trace(clock.now(), "serving");
         log.info("serving on " + charter.listen() + ", " + known.entries().size() + " endpoints known, "
                 + counters.of(Counters.Count.RESTORED) + " records owed from the last life");
     }
 
+    private void awaitBegun(long within) throws IOException {
+        try {
+            desk.awaitBegun(within);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while starting", e);
+        }
+    }
+
     /**
      * Reads the configuration again and follows discovery to the address that it names; all else in it is for the next
      * start. What cannot be read leaves the node as it is. From any thread but the node's own.
@@ -81,8 +97,10 @@
             boolean same = charter.movedTo(told.discovery()).equals(told);
             log.info("configuration read again, discovery at " + told.discovery()
                     + (same ? "" : "; what else differs is taken up at the next start"));
-            if (ready) {
-                desk.post(new Word.Moved(told.discovery()));
+            movedTo = told.discovery();
+            Desk running = desk; // where there is none yet, the start tells it
+            if (running != null) {
+                running.post(new Word.Moved(movedTo));
             }
         } catch (IOException | RuntimeException e) {
             log.warn("configuration not taken up, the old one stays: " + e.getMessage());
@@ -99,11 +117,12 @@
         if (door == null) {
             return;
         }
-        ready = false;
+        leaving = true;
         door.closing();
         desk.post(new Word.Leave());
         try {
             thread.join(charter.limits().leaveWithin() / 1000 + 200);
+            desk.shut();
             reactor.close();
             journal.close();
         } catch (InterruptedException e) {
--- a/src/main/java/terndyke/node/discovery/Watch.java
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -13,8 +13,9 @@
 import terndyke.node.http.Calls;
 
 /**
- * Follows discovery's list: the next call leaves as soon as the last one is answered. Where the list comes on request alone,
- * a first call and one after a failure wait until they are asked for. All on the decision thread.
+ * Follows discovery's list: the next call leaves as soon as the last one is answered. Silence on a watch is a break. The
+ * first call, and each after a break, asks for the whole list at once, so that it is answered or known to be lost soon.
+ * Where the list comes on request alone, these wait until they are asked for. All on the decision thread.
  */
 public final class Watch {
     private static final byte[] NOTHING = new byte[0];
@@ -30,10 +31,11 @@
     private long dueAt; // when the call that is out has waited too long, or the next one may leave
     private boolean out;
     private boolean silent;
-    private boolean afresh; // the whole list is asked for first
+    private boolean afresh = true; // the whole list is asked for first
     private final boolean onRequest;
     private boolean asked; // where the list comes on request alone: it has been asked for, and no call has failed since
     private boolean failed;
+    private boolean tried;
 
     public Watch(Limits limits, InetSocketAddress discovery, Catalogue catalogue, Calls calls, NodeLog log,
             boolean onRequest, BiConsumer<Long, Call.Result> whenAnswered) {
@@ -46,21 +48,36 @@
         this.whenAnswered = whenAnswered;
     }
 
-    /** Keeps the watch going; returns when to come again at the latest. */
-    public long keep(long now) {
+    /** Keeps the watch going, once the answers that have come by now have been taken in. */
+    public void keep(long now) {
         if (now >= dueAt && out) {
             calls.cancel(line);
             out = false;
-            failed = true;
-            asked = false;
-            told(false, "no answer from discovery; the list stays in force");
+            broke("no answer from discovery; the list stays in force");
         }
         if (now >= dueAt && (asked || !onRequest)) {
             start(now);
         }
+    }
+
+    /** When to come again at the latest. */
+    public long dueAt() {
         return asked || !onRequest || out ? dueAt : Long.MAX_VALUE;
     }
 
+    /** True once the first call has been answered or has failed; at once where the list comes on request. */
+    public boolean tried() {
+        return tried || onRequest;
+    }
+
+    private void broke(String text) {
+        tried = true;
+        failed = true;
+        asked = false;
+        afresh = true;
+        told(false, text);
+    }
+
     /** Asks for the list from now on, where it comes on request: who decides when is the module. */
     public void ask(long now) {
         asked = true;
@@ -106,23 +123,20 @@
         out = false;
         dueAt = now + limits.resend();
         if (result.status() != 200 || result.body() == null) {
-            failed = true;
-            asked = false;
-            told(false, "watch broke: status " + result.status() + ", " + result.ending());
+            broke("watch broke: status " + result.status() + ", " + result.ending());
             return null;
         }
         try {
             List<String> unread = new ArrayList<>();
             Event.ListTold list = catalogue.take(result.body(), now, unread);
             unread.forEach(text -> log.warn("list: " + text));
-            dueAt = now;
-            afresh = false;
+            tried = true;
+            afresh = !unread.isEmpty(); // what could not be read is asked for again
+            dueAt = afresh ? now + limits.resend() : now;
             told(true, "discovery answers again");
             return list;
         } catch (IOException e) {
-            failed = true;
-            asked = false;
-            log.warn("list cannot be read: " + e.getMessage());
+            broke("list cannot be read: " + e.getMessage());
             return null;
         }
     }
--- a/src/main/java/terndyke/node/http/Call.java
+++ b/src/main/java/terndyke/node/http/Call.java
@@ -22,7 +22,11 @@
         }
 
         static Result none(Ending ending) {
-            return new Result(0, ending, 0, false, null, null);
+            return none(ending, 0);
+        }
+
+        static Result none(Ending ending, long waitTold) {
+            return new Result(0, ending, waitTold, false, null, null);
         }
     }
 
--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -152,9 +152,17 @@
             return inInput;
         }
 
-        /** All that has come by now is read before a call leaves: a wait may be in it, or noise on this very line. */
+        /**
+         * All that has come by now is read before a call leaves: a wait may be in it, or noise on this very line. One of
+         * which bytes are left when it must not start any more is given up: a repeat that is whole only after its window
+         * is a second effect, and one that is never whole does not run.
+         */
         boolean mayLeave() {
             Exchange on = exchange;
+            if (on != null && on.produced && !allWritten() && clock.getAsLong() >= on.call.startBy()) {
+                on.failed(null);
+                return false;
+            }
             boolean may = on == null || on.produced || on.passed;
             if (on != null) {
                 on.passed = true;
@@ -314,6 +322,13 @@
         }
     }
 
+    /** Closes all connections, those with a call on them too. */
+    public void close() {
+        List.copyOf(busy).forEach(this::drop);
+        idle.values().forEach(free -> free.forEach(this::drop));
+        idle.clear();
+    }
+
     private boolean dropOldest() {
         Line oldest = null;
         for (Deque<Line> free : idle.values()) {
@@ -500,6 +515,12 @@
             free();
         }
 
+        /** A wait counts once its head has been read, however the rest of the answer is spoilt. */
+        private long waitTold() {
+            boolean turnedAway = head != null && (head.getCode() == 429 || head.getCode() == 503);
+            return turnedAway ? micros(head.getFirstHeader("Retry-After")) : 0;
+        }
+
         private Call.Result result(byte[] content) {
             Header wait = head.getFirstHeader("Retry-After");
             Header load = head.countHeaders("Server-Load") == 1 ? head.getFirstHeader("Server-Load") : null;
@@ -538,7 +559,7 @@
         @Override
         public void failed(Exception cause) {
             end(done() ? new Call.Result(status, null, 0, false, null, null)
-                    : Call.Result.none(line.allWritten() ? Ending.RESET : Ending.NOT_CONNECTED));
+                    : Call.Result.none(line.allWritten() ? Ending.RESET : Ending.NOT_CONNECTED, waitTold()));
             IOSession session = line.session;
             if (session != null) {
                 session.close(CloseMode.IMMEDIATE);
--- a/src/main/java/terndyke/node/http/Door.java
+++ b/src/main/java/terndyke/node/http/Door.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -68,7 +69,7 @@
         private ByteBuffer text;
         private boolean tooLarge;
         private long passedOver; // bytes of a body that nobody wants
-        private volatile boolean answered;
+        private final AtomicBoolean answered = new AtomicBoolean(); // by the desk, or the client has left
         private Handover handover;
         private final Visits.Visit visit;
         private final boolean crowded;
@@ -236,10 +237,9 @@
         }
 
         private void send(int status, long retryAfter, boolean close, String content) {
-            if (answered) {
+            if (!answered.compareAndSet(false, true)) {
                 return;
             }
-            answered = true;
             BasicHttpResponse response = new BasicHttpResponse(status);
             if (retryAfter > 0) {
                 response.addHeader("Retry-After", seconds(retryAfter));
@@ -274,8 +274,7 @@
 
         @Override
         public void failed(Exception cause) {
-            if (!answered && handover != null) {
-                answered = true;
+            if (handover != null && answered.compareAndSet(false, true)) {
                 whenLeft.accept(handover);
             }
         }
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
@@ -54,6 +55,8 @@
     private final Visits visits;
     private final Http1Config http;
     private final DefaultHttpResponseWriterFactory answers;
+    private final Semaphore places; // of clients' connections, from their accept to their close
+    private volatile Thread acceptor;
     private volatile Door door;
     private volatile boolean closing;
 
@@ -68,9 +71,28 @@
         IOReactorConfig io = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoReuseAddress(true)
                 .setSelectInterval(TimeValue.ofMicroseconds(limits.selectEvery()))
                 .setBacklogSize(limits.backlog()).build();
-        reactor = new DefaultListeningIOReactor(this::handler, io, work -> thread(work, "terndyke-io"),
-                work -> thread(work, "terndyke-accept"), null, this::failed, null,
-                ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK);
+        places = new Semaphore(limits.clientConnections() + limits.spareConnections() + limits.comingConnections());
+        reactor = new DefaultListeningIOReactor(this::handler, io, work -> thread(work, "terndyke-io"), work -> {
+            acceptor = thread(work, "terndyke-accept");
+            return acceptor;
+        }, null, this::failed, null, null, ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK, threads -> takePlace());
+    }
+
+    /**
+     * The library asks here which of its I/O threads, of which there is one, gets the next connection. Guards against
+     * clients that come faster than they can be looked at: they would take all descriptors, and the first accept without
+     * one ends the library's listener for good. Those in excess wait in the system's queue.
+     */
+    private int takePlace() {
+        try {
+            while (Thread.currentThread() == acceptor && !closing
+                    && !places.tryAcquire(limits.selectEvery(), TimeUnit.MICROSECONDS)) {
+                counters.add(Count.ACCEPTS_HELD);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return 0;
     }
 
     private static Http1Config http(Limits limits) {
@@ -148,6 +170,7 @@
         @Override
         public void disconnected(IOSession session) {
             visit.left();
+            places.release();
             super.disconnected(session);
         }
     }
@@ -178,7 +201,7 @@
     }
 
     /** A client for whom there is no place: closed at once. */
-    private static final class Stranger implements IOEventHandler {
+    private final class Stranger implements IOEventHandler {
         @Override
         public void connected(IOSession session) {
             session.close(CloseMode.IMMEDIATE);
@@ -197,7 +220,9 @@
         public void exception(IOSession session, Exception cause) { }
 
         @Override
-        public void disconnected(IOSession session) { }
+        public void disconnected(IOSession session) {
+            places.release();
+        }
     }
 
     public void start() {
--- a/src/main/java/terndyke/node/http/Visits.java
+++ b/src/main/java/terndyke/node/http/Visits.java
@@ -29,10 +29,14 @@
 
     /** Lets a client in, in the place of one that stands idle where all are taken; null where there is no place. */
     Visit come(IOSession session) {
+        int most = limits.clientConnections() + limits.spareConnections();
         if (open >= limits.clientConnections()) {
-            makeRoom();
+            makeRoom(limits.silentAtLeast());
         }
-        if (open >= limits.clientConnections() + limits.spareConnections()) {
+        if (open >= most) {
+            makeRoom(limits.silentAtLeast() / 10); // had more time to say something than who comes now
+        }
+        if (open >= most) {
             return null;
         }
         open++;
@@ -46,12 +50,12 @@
         return open > limits.clientConnections();
     }
 
-    private void makeRoom() {
+    private void makeRoom(long silentAtLeast) {
         long now = clock.getAsLong();
         Visit first = null;
         for (Visit visit : quiet) {
             long rested = now - visit.since;
-            if (rested >= limits.idleAtLeast() || !visit.asked && rested >= limits.silentAtLeast()) {
+            if (rested >= limits.idleAtLeast() || !visit.asked && rested >= silentAtLeast) {
                 first = visit;
                 break;
             }
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -32,7 +33,7 @@
     private final Counters counters;
     private final NodeLog log;
     private final NodeClock clock;
-    private final LinkedBlockingQueue<Word> inbox = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<Word> inbox;
     private final AtomicInteger handedIn = new AtomicInteger();
     private final Timers timers = new Timers();
     private final Map<Long, Owed> fresh = new LinkedHashMap<>(); // taken in this turn
@@ -50,10 +51,19 @@
     private final int grades;
     private long sweepAt;
     private long leaveAt = Long.MAX_VALUE;
-    private volatile boolean over;
+    private final CountDownLatch begun = new CountDownLatch(1); // what discovery has to tell is known, or it is silent
+    private volatile boolean over; // no more turns
+    private volatile boolean shut; // not even where a turn takes too long
+    private volatile boolean emptied; // nothing more is taken from the inbox
 
     public Desk(Charter charter, Reactor reactor, Catalogue catalogue, Book book, NodeClock clock, Counters counters,
             NodeLog log) {
+        this(charter, reactor, catalogue, book, clock, counters, log, new LinkedBlockingQueue<>());
+    }
+
+    Desk(Charter charter, Reactor reactor, Catalogue catalogue, Book book, NodeClock clock, Counters counters,
+            NodeLog log, LinkedBlockingQueue<Word> inbox) {
+        this.inbox = inbox;
         this.limits = charter.limits();
         this.counters = counters;
         this.log = log;
@@ -77,14 +87,28 @@
         return clock.now();
     }
 
-    /** Hands a record over from the I/O thread; false where too many wait already. */
+    /**
+     * Hands a record over from the I/O thread; false where too many wait already, or the desk takes no more. One that
+     * comes while the desk ends is either seen by its last look or taken back here, so that it has one answer.
+     */
     public boolean handOver(Handover handover) {
-        if (over || handedIn.get() >= limits.inbox()) {
+        if (over || shut || handedIn.get() >= limits.inbox()) {
             return false;
         }
+        Word word = new Word.Handed(handover);
         handedIn.incrementAndGet();
-        inbox.add(new Word.Handed(handover));
-        return true;
+        inbox.add(word);
+        return !emptied || !inbox.remove(word);
+    }
+
+    /** No more is taken in, though the desk's last turn may take long. */
+    public void shut() {
+        shut = true;
+    }
+
+    /** Waits until the desk knows what discovery has to tell, or that it is silent, so that its first shots may go. */
+    public void awaitBegun(long micros) throws InterruptedException {
+        begun.await(micros, TimeUnit.MICROSECONDS);
     }
 
     /** Tells the decision thread something; calls and probes that are out bound how much of this can wait. */
@@ -92,7 +116,10 @@
         inbox.add(word);
     }
 
-    /** The list as it was last held, and what the last life owed, before the thread starts. */
+    /**
+     * The list as it was last held, and what the last life owed, before the thread starts. The list may be old, and what
+     * discovery has counts as told: the first turn of the module waits until it has been asked.
+     */
     public void restore(Event.ListTold known, Collection<Owed> records) {
         long now = now();
         route.tell(known);
@@ -108,12 +135,12 @@
                 relay.restore(owed);
             }
         }
-        act(now);
+        relay.notices(now);
     }
 
     @Override
     public void run() {
-        while (!over) {
+        while (!over && !shut) {
             try {
                 turn();
             } catch (InterruptedException e) {
@@ -126,24 +153,40 @@
         refuseLast();
     }
 
-    /** Whoever was read in the last moments is refused too, before the connections close: nobody is left unanswered. */
+    /**
+     * Whoever was read in the last moments is refused too, before the connections close: nobody is left unanswered. What
+     * has ended by now is booked, so that the next life does not send it again.
+     */
     private void refuseLast() {
+        refuseFresh();
         try {
             for (Word word = inbox.poll(); word != null; word = inbox.poll(limits.lastWords(), TimeUnit.MICROSECONDS)) {
-                if (word instanceof Word.Handed handed) {
-                    counters.add(Count.REFUSED_AT_DOOR);
-                    handed.handover().answer().refused(0);
-                }
+                last(word);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        emptied = true;
+        for (Word word = inbox.poll(); word != null; word = inbox.poll()) {
+            last(word);
+        }
+        calls.close();
+    }
+
+    private void last(Word word) {
+        if (word instanceof Word.Handed handed) {
+            counters.add(Count.REFUSED_AT_DOOR);
+            handed.handover().answer().refused(0);
+        } else if (word instanceof Word.ShotOver shot) {
+            send.ended(shot);
+        }
     }
 
     private void turn() throws InterruptedException {
         long now = now();
-        long next = Math.min(timers.first(now + limits.longestSleep()), watch.keep(now));
-        Word word = inbox.poll(route.due() ? 0 : Math.max(0, next - now), TimeUnit.MICROSECONDS);
+        long next = Math.min(timers.first(now + limits.longestSleep()), watch.dueAt());
+        boolean mayAct = begun.getCount() == 0;
+        Word word = inbox.poll(route.due() && mayAct ? 0 : Math.max(0, next - now), TimeUnit.MICROSECONDS);
         now = now();
         watchdog.begin(now);
         int words = 0;
@@ -154,10 +197,16 @@
         watchdog.tookIn(words, now());
         timers.run(now);
         watchdog.did(Doing.TIMERS, now());
+        watch.keep(now);
         if (watch.failed()) {
             route.tell(new Event.ListFailed());
         }
-        act(now);
+        if (watch.tried()) {
+            begun.countDown();
+            act(now);
+        } else {
+            relay.notices(now);
+        }
         if (now >= sweepAt) {
             sweepAt = now + limits.sweepEvery();
             calls.sweep(now);
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -65,6 +65,7 @@
     private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(5)).build();
     private volatile Function<Arrived, Integer> verdict = call -> 200;
     private volatile String list = "";
+    private volatile boolean silent; // even where the whole list is asked for
     private HttpServer endpoint;
     private HttpServer discovery;
     private InetSocketAddress listen;
@@ -110,8 +111,12 @@
                 notices.addAll(new String(body, StandardCharsets.UTF_8).lines().toList());
             }
             call.sendResponseHeaders(drop ? 500 : 204, -1);
-        } else if (list.isEmpty()) {
+        } else if (list.isEmpty() && (silent || call.getRequestURI().getQuery() != null)) {
             return; // a watch that nothing answers
+        } else if (list.isEmpty()) {
+            byte[] told = known().getBytes(StandardCharsets.UTF_8);
+            call.sendResponseHeaders(200, told.length);
+            call.getResponseBody().write(told);
         } else {
             byte[] told = list.getBytes(StandardCharsets.UTF_8);
             list = "";
@@ -127,11 +132,14 @@
                 + ",\"state\":\"active\",\"capacity_hint\":50,\"boot_ms\":0}";
     }
 
+    private String known() {
+        return "{\"rev\":1,\"all\":true,\"targets\":[" + target("s-1", 3) + "]}";
+    }
+
     private String charter(double diskMb, int sockets) {
         return "{\"name\":\"n\",\"listen\":\"127.0.0.1:" + listen.getPort() + "\",\"discovery\":\"127.0.0.1:"
                 + discovery.getAddress().getPort() + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":192,\"sockets\":"
-                + sockets + ",\"disk_mb\":" + diskMb + "},\"known\":{\"rev\":1,\"all\":true,\"targets\":[" + target("s-1", 3)
-                + "]},\"settings\":" + CharterTest.SETTINGS + "}";
+                + sockets + ",\"disk_mb\":" + diskMb + "},\"known\":" + known() + ",\"settings\":" + CharterTest.SETTINGS + "}";
     }
 
     private void serve(double diskMb) throws IOException {
@@ -536,14 +544,89 @@
         assertNotNull(next(arrived));
         Path file = moved();
         noticesToDrop.set(0);
+        long told = node.counters().of(Count.LISTS_TOLD);
         list = "{\"rev\":1,\"all\":true,\"targets\":[" + target("s-1", 3) + "," + target("s-9", 9) + "]}";
         node.reread(new Charter.Place(file.toString(), null, null, null, folder.toString()));
         assertEquals("{\"ref\":\"r-1\",\"result\":\"dead\"}", next(notices));
-        until(() -> node.counters().of(Count.LISTS_TOLD) > 0);
+        until(() -> node.counters().of(Count.LISTS_TOLD) > told);
         verdict = call -> 200;
         assertEquals(202, send(request("status", "r-2").setHeader("X-Consignee", "dest=9"), ""));
     }
 
+    @Test
+    void aConfigurationReadAgainBeforeTheNodeServesIsFollowedToo() throws Exception {
+        Charter old = charter();
+        Path file = moved();
+        list = "{\"rev\":1,\"all\":true,\"targets\":[" + target("s-9", 9) + "]}";
+        node = new DeliveryNode(old, NO_LOG);
+        node.reread(new Charter.Place(file.toString(), null, null, null, folder.toString()));
+        node.start();
+        until(() -> node.counters().of(Count.LISTS_TOLD) > 0);
+        assertEquals(202, send(request("status", "r-1").setHeader("X-Consignee", "dest=9"), ""));
+    }
+
+    /** The list in the configuration may be old, and what discovery has counts as told from the first moment on. */
+    @Test
+    void whatWasOwedGoesOutByTheListThatDiscoveryHasNotByTheOldOne() throws Exception {
+        verdict = call -> SILENT;
+        serve(3);
+        assertEquals(202, hand("status", "r-1"));
+        assertNotNull(next(arrived));
+        node.close();
+        arrived.clear();
+        HttpServer replaced = endpoint;
+        endpoint = server("/events", this::event);
+        list = "{\"rev\":2,\"all\":true,\"targets\":[" + target("s-2", 3) + "]}";
+        AtomicInteger late = new AtomicInteger();
+        replaced.removeContext("/events");
+        replaced.createContext("/events", call -> late.incrementAndGet());
+        verdict = call -> 200;
+        node = new DeliveryNode(oldList(replaced), NO_LOG);
+        node.start();
+        assertEquals("r-1", next(arrived).id());
+        assertEquals(0, late.get(), "calls to who has left");
+        replaced.stop(0);
+    }
+
+    private Charter oldList(HttpServer replaced) throws IOException {
+        String text = charter(3, 1024).replace("127.0.0.1:" + endpoint.getAddress().getPort(),
+                "127.0.0.1:" + replaced.getAddress().getPort());
+        return Charter.read(text.getBytes(StandardCharsets.UTF_8),
+                new Charter.Place("file", null, null, null, folder.toString()));
+    }
+
+    @Test
+    void aNodeThatIsToldToGoBeforeItServesNeverSaysThatItDoes() throws Exception {
+        silent = true; // so that the start takes a second
+        node = new DeliveryNode(charter(), NO_LOG);
+        Thread starting = new Thread(() -> {
+            try {
+                node.start();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        starting.start();
+        until(() -> {
+            try {
+                return health() == 503;
+            } catch (IOException e) {
+                return false; // nothing listens yet
+            }
+        });
+        Thread leaving = new Thread(node::close);
+        leaving.start();
+        try {
+            while (leaving.isAlive()) {
+                assertEquals(503, health());
+            }
+        } catch (IOException e) {
+            assertFalse(starting.isAlive(), "it has left"); // it listens no more
+        }
+        leaving.join(PATIENCE.toMillis());
+        starting.join(PATIENCE.toMillis());
+    }
+
     @Test
     void aConfigurationThatCannotBeReadLeavesTheOldOneInForce() throws Exception {
         serve(3);
--- /dev/null
+++ b/src/test/java/terndyke/node/discovery/WatchTest.java
@@ -0,0 +1,175 @@
+package terndyke.node.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import terndyke.node.Counters;
+import terndyke.node.GivenNode;
+import terndyke.node.Limits;
+import terndyke.node.http.Call;
+import terndyke.node.http.Calls;
+import terndyke.node.http.Reactor;
+
+/** The watch against a discovery that does, call by call, what the test says; the clock is the test's. */
+class WatchTest {
+    private static final long TOLD_AFTER = 6_000_000; // what a silent watch misses counts as told so long after
+    private static final long ROOM = 2_000_000; // for a node that is short of CPU, and one more call that is lost
+    private static final String LIST = "{\"rev\":7,\"all\":true,\"targets\":[]}";
+
+    private record Answered(long round, Call.Result result) { }
+
+    private final Limits limits = Limits.shareOut(192, 1024, 3, 8, 40, 400_000, 1_000_000);
+    private final BlockingQueue<Answered> answers = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Calls.Line> free = new LinkedBlockingQueue<>();
+    private ServerSocket discovery;
+    private Reactor reactor;
+    private Calls calls;
+    private Watch watch;
+    private Socket connection;
+    private long now = 1_000_000;
+
+    @BeforeEach
+    void start() throws IOException {
+        discovery = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
+        discovery.setSoTimeout(20_000);
+        Counters counters = new Counters();
+        reactor = new Reactor(limits, counters, GivenNode.NO_LOG);
+        reactor.start();
+        calls = new Calls(reactor, limits, counters, () -> now, free::add);
+        watch(false);
+    }
+
+    private void watch(boolean onRequest) {
+        watch = new Watch(limits, new InetSocketAddress(discovery.getInetAddress(), discovery.getLocalPort()),
+                new Catalogue(List.of("east"), List.of("a")), calls, GivenNode.NO_LOG, onRequest,
+                (round, result) -> answers.add(new Answered(round, result)));
+    }
+
+    @AfterEach
+    void stop() throws IOException, InterruptedException {
+        discovery.close();
+        reactor.close();
+    }
+
+    private String asked() throws IOException {
+        if (connection == null) {
+            connection = discovery.accept();
+        }
+        StringBuilder text = new StringBuilder();
+        InputStream in = connection.getInputStream();
+        while (text.indexOf("\r\n\r\n") < 0) {
+            int read = in.read();
+            assertTrue(read >= 0, "no request came");
+            text.append((char) read);
+        }
+        return text.substring(text.indexOf(" ") + 1, text.indexOf(" HTTP"));
+    }
+
+    private boolean answer(String body) throws Exception {
+        connection.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.US_ASCII));
+        Answered answered = answers.poll(30, TimeUnit.SECONDS);
+        calls.free(free.poll(30, TimeUnit.SECONDS), now);
+        return watch.answered(answered.round, answered.result, now) != null;
+    }
+
+    /** The call that is out is never answered: the next one comes on a connection of its own. */
+    private void lost() throws Exception {
+        long broken = watch.dueAt();
+        now = broken - 1;
+        watch.keep(now);
+        assertEquals(broken, watch.dueAt(), "it still waits");
+        now = broken;
+        watch.keep(now);
+        Answered stale = answers.poll(30, TimeUnit.SECONDS);
+        assertNull(watch.answered(stale.round, stale.result, now), "its end is no second break");
+        calls.free(free.poll(30, TimeUnit.SECONDS), now);
+        connection.close();
+        connection = null;
+    }
+
+    @Test
+    void aWatchThatFallsSilentIsOpenedAnewLongBeforeItsNewsCountsAsTold() throws Exception {
+        watch.keep(now);
+        assertEquals("/catalog/members", asked(), "at first the whole list, at once");
+        assertTrue(answer(LIST));
+        watch.keep(now);
+        assertEquals("/catalog/members?after=7&wait_ms=" + limits.watchWait() / 1000, asked());
+        long silentSince = now; // at worst it falls silent as soon as it is open
+        lost();
+        assertEquals("/catalog/members", asked());
+        lost();
+        assertEquals("/catalog/members", asked(), "the call after the break is lost as well");
+        assertTrue(answer("{\n  \"rev\": 8,\n  \"all\": true,\n  \"targets\": [\n  ]\n}"));
+        assertTrue(now - silentSince <= TOLD_AFTER - ROOM, "asked after " + (now - silentSince));
+    }
+
+    @Test
+    void discoveryThatIsDownAtTheStartIsAskedAgainWithinASecond() throws Exception {
+        watch.keep(now);
+        asked();
+        long began = now;
+        lost();
+        assertTrue(now - began <= 1_000_000);
+        assertEquals("/catalog/members", asked());
+    }
+
+    @Test
+    void anAnswerThatHasComeIsTakenInBeforeItsCallIsGivenUp() throws Exception {
+        watch.keep(now);
+        asked();
+        now = watch.dueAt() + 1_000_000; // the node was held up, and the answer lies in its inbox
+        assertTrue(answer(LIST));
+        watch.keep(now);
+        assertEquals("/catalog/members?after=7&wait_ms=" + limits.watchWait() / 1000, asked());
+    }
+
+    @Test
+    void aListThatCannotBeReadWholeIsAskedForAgain() throws Exception {
+        watch.keep(now);
+        asked();
+        assertTrue(answer("{\"rev\":7,\"all\":true,\"targets\":[{\"uid\":\"s-1\",\"endpoint\":\"127.0.0.1:1\","
+                + "\"az\":\"east\",\"model\":\"a\",\"pod_group\":1,\"state\":\"lea\"}]}"));
+        now = watch.dueAt();
+        watch.keep(now);
+        assertEquals("/catalog/members", asked(), "what could not be read is in no later change");
+        assertTrue(!answer("{\"rev\":8,\"all\":true,\"targ"));
+        now = watch.dueAt();
+        watch.keep(now);
+        assertEquals("/catalog/members", asked());
+    }
+
+    @Test
+    void whereTheListComesOnRequestABreakIsToldAndNothingIsAskedUnbidden() throws Exception {
+        watch(true);
+        watch.keep(now);
+        assertEquals(Long.MAX_VALUE, watch.dueAt());
+        watch.ask(now);
+        watch.keep(now);
+        asked();
+        lost();
+        assertTrue(watch.failed());
+        assertEquals(Long.MAX_VALUE, watch.dueAt());
+        watch.ask(now);
+        watch.keep(now);
+        assertNotNull(asked());
+    }
+}
--- a/src/test/java/terndyke/node/http/CallsTest.java
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -368,6 +368,44 @@
         }
     }
 
+    @Test
+    void aCallWhoseLastByteWouldComeTooLateIsNeverWhole() throws Exception {
+        AtomicLong clock = new AtomicLong(100);
+        calls = new Calls(reactor, limits, counters, clock::get, free::add);
+        endpoint.setReceiveBufferSize(4096);
+        byte[] large = new byte[8 << 20]; // far more than the sockets hold
+        calls.start(peer, new Call("POST", "/events", new String[] {"Content-Length", Integer.toString(large.length)},
+                large, 500), 0, results::add);
+        try (Socket connection = endpoint.accept()) {
+            connection.setSoTimeout(5_000);
+            assertEquals('P', connection.getInputStream().read(), "it has begun in time");
+            clock.set(500);
+            long read = 1;
+            byte[] some = new byte[1 << 16];
+            try {
+                for (int n = 0; n >= 0; n = connection.getInputStream().read(some)) {
+                    read += n;
+                }
+            } catch (SocketException e) {
+                // closed with bytes left
+            }
+            assertTrue(read < large.length, "read " + read);
+        }
+        assertEquals(Ending.NOT_CONNECTED, result().ending(), "it never ran");
+    }
+
+    @Test
+    void aWaitIsToldThoughTheRestOfItsAnswerIsCut() throws Exception {
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, "HTTP/1.1 429 Slow\r\nRetry-After: 0.25\r\nContent-Length: 9\r\n\r\ncut");
+        }
+        Call.Result result = result();
+        assertEquals(Ending.RESET, result.ending());
+        assertEquals(250_000, result.waitTold());
+    }
+
     @Test
     void aCallThatIsWithheldBeforeItsConnectionIsUpNeverLeaves() throws Exception {
         endpoint.close();
--- a/src/test/java/terndyke/node/http/VisitsTest.java
+++ b/src/test/java/terndyke/node/http/VisitsTest.java
@@ -121,6 +121,20 @@
         assertTrue(closed.isEmpty());
     }
 
+    @Test
+    void whoHasSaidNothingMakesRoomForWhoComesPastAllRoom() {
+        IOSession silent = session();
+        visits.come(silent);
+        fill();
+        for (int i = 1; i < limits.spareConnections(); i++) {
+            visits.come(session());
+        }
+        assertNull(visits.come(session()), "nobody had the time to say anything");
+        now += limits.silentAtLeast() / 2;
+        assertNotNull(visits.come(session()));
+        assertEquals(Set.of(silent), closed);
+    }
+
     @Test
     void pastAllRoomAClientIsTurnedOutAndPlacesComeBack() {
         fill();
