The module hears of the last life's records in its first turn, not before it waits for the list

Cause: the wait for discovery's first answer held back the module's turn, but RecordOwed and RecordTaken tell times that are left, as of when they are told; the module counted them from its later turn, so windows and ends were longer by the wait. Now both are told in the turn that acts (Desk.begin). Ruled out: the booking of last outcomes (it books only what ended). Test: a start that waits a second for a silent discovery says the right time left to the endpoint. oneTurn's desk gets a list on request, so that it has no first wait; what is checked there is the same.

--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -1,5 +1,6 @@
 package terndyke.node.stage;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -37,6 +38,8 @@
     private final AtomicInteger handedIn = new AtomicInteger();
     private final Timers timers = new Timers();
     private final Map<Long, Owed> fresh = new LinkedHashMap<>(); // taken in this turn
+    private final List<Owed> lastLife = new ArrayList<>(); // of which the module is still to hear
+    private final List<Handover> early = new ArrayList<>(); // handed in before the first turn of the module
     private final TakeIn takeIn;
     private final Admit admit;
     private final Route route;
@@ -121,7 +124,6 @@
      * discovery has counts as told: the first turn of the module waits until it has been asked.
      */
     public void restore(Event.ListTold known, Collection<Owed> records) {
-        long now = now();
         route.tell(known);
         for (Owed owed : List.copyOf(records)) {
             counters.add(Count.RESTORED, owed.told ? 0 : 1);
@@ -130,12 +132,24 @@
                 relay.ended(owed, Entry.End.TERMINATED, 0);
                 continue;
             }
-            send.restore(owed, now);
+            lastLife.add(owed);
             if (!owed.open()) {
                 relay.restore(owed);
             }
         }
-        relay.notices(now);
+        relay.notices(now());
+    }
+
+    /** The module hears of records by the time that is left, so it hears of them only in the turn that it acts in. */
+    private void begin(long now) {
+        if (begun() || !watch.tried()) {
+            return;
+        }
+        lastLife.forEach(owed -> send.restore(owed, now));
+        lastLife.clear();
+        early.forEach(handover -> handed(handover, now));
+        early.clear();
+        begun.countDown();
     }
 
     @Override
@@ -159,6 +173,7 @@
      */
     private void refuseLast() {
         refuseFresh();
+        early.forEach(handover -> handover.answer().refused(0));
         try {
             for (Word word = inbox.poll(); word != null; word = inbox.poll(limits.lastWords(), TimeUnit.MICROSECONDS)) {
                 last(word);
@@ -185,8 +200,8 @@
     private void turn() throws InterruptedException {
         long now = now();
         long next = Math.min(timers.first(now + limits.longestSleep()), watch.dueAt());
-        boolean mayAct = begun.getCount() == 0;
-        Word word = inbox.poll(route.due() && mayAct ? 0 : Math.max(0, next - now), TimeUnit.MICROSECONDS);
+        begin(now);
+        Word word = inbox.poll(route.due() && begun() ? 0 : Math.max(0, next - now), TimeUnit.MICROSECONDS);
         now = now();
         watchdog.begin(now);
         int words = 0;
@@ -201,8 +216,8 @@
         if (watch.failed()) {
             route.tell(new Event.ListFailed());
         }
-        if (watch.tried()) {
-            begun.countDown();
+        begin(now);
+        if (begun()) {
             act(now);
         } else {
             relay.notices(now);
@@ -228,7 +243,11 @@
         if (word instanceof Word.Handed handed) {
             handedIn.decrementAndGet();
             watchdog.waited(now - handed.handover().readAt());
-            handed(handed.handover(), now);
+            if (begun()) {
+                handed(handed.handover(), now);
+            } else {
+                early.add(handed.handover());
+            }
         } else if (word instanceof Word.ShotOver shot) {
             send.ended(shot);
         } else if (word instanceof Word.LineFree free) {
@@ -304,6 +323,10 @@
         }
     }
 
+    private boolean begun() {
+        return begun.getCount() == 0;
+    }
+
     /** One turn of the module, and all that it asks for. */
     private void act(long now) {
         while (route.due()) {
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -30,6 +30,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 
 import org.junit.jupiter.api.AfterEach;
@@ -61,6 +62,7 @@
     private final BlockingQueue<Arrived> arrived = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> notices = new LinkedBlockingQueue<>();
     private final AtomicInteger noticesToDrop = new AtomicInteger();
+    private final AtomicLong timeLeft = new AtomicLong(); // in milliseconds, as the last call said
     private final ExecutorService threads = Executors.newFixedThreadPool(16);
     private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(5)).build();
     private volatile Function<Arrived, Integer> verdict = call -> 200;
@@ -95,6 +97,7 @@
         Arrived one = new Arrived(call.getRequestHeaders().getFirst("Request-Id"),
                 call.getRequestHeaders().getFirst("Idempotency-Key"),
                 new String(call.getRequestBody().readAllBytes(), StandardCharsets.UTF_8));
+        timeLeft.set(Long.parseLong(call.getRequestHeaders().getFirst("Request-Timeout-Ms")));
         int status = verdict.apply(one);
         arrived.add(one);
         if (status != SILENT) {
@@ -424,7 +427,7 @@
     void whoIsReadInTheLastMomentsOfALeavingNodeIsAnsweredToo() throws Exception {
         Counters counters = new Counters();
         Reactor reactor = new Reactor(charter().limits(), counters, NO_LOG);
-        Desk desk = desk(reactor, counters);
+        Desk desk = desk(reactor, counters, charter(3, 1024));
         reactor.start();
         AtomicInteger accepted = new AtomicInteger();
         AtomicInteger answered = new AtomicInteger();
@@ -445,13 +448,17 @@
     }
 
     private Charter charter() throws IOException {
-        return Charter.read(charter(3, 1024).getBytes(StandardCharsets.UTF_8),
+        return charter(charter(3, 1024));
+    }
+
+    private Charter charter(String text) throws IOException {
+        return Charter.read(text.getBytes(StandardCharsets.UTF_8),
                 new Charter.Place("file", null, null, null, folder.toString()));
     }
 
     /** A desk with its list, without its thread. */
-    private Desk desk(Reactor reactor, Counters counters) throws IOException {
-        Charter charter = charter();
+    private Desk desk(Reactor reactor, Counters counters, String text) throws IOException {
+        Charter charter = charter(text);
         Catalogue catalogue = new Catalogue(charter.zones(), charter.kinds());
         catalogue.take(charter.known(), 0, new ArrayList<>());
         Book book = new Book(Journal.open(folder, charter.limits().journalBytes(), NO_LOG, new ArrayList<>()),
@@ -463,7 +470,7 @@
     private List<String> oneTurn(Handover... records) throws Exception {
         Counters counters = new Counters();
         Reactor reactor = new Reactor(charter().limits(), counters, NO_LOG);
-        Desk desk = desk(reactor, counters);
+        Desk desk = desk(reactor, counters, charter(3, 1024).replace("\"push\"", "\"ask\"")); // waits for no list
         reactor.start();
         for (Handover record : records) {
             assertTrue(desk.handOver(record));
@@ -588,11 +595,28 @@
         replaced.stop(0);
     }
 
+    /** The module hears of what was owed when it may act, and not before: else all its times would be longer. */
+    @Test
+    void aStartThatWaitsForDiscoveryMakesNoRecordsTimeLonger() throws Exception {
+        verdict = call -> SILENT;
+        serve(3);
+        assertEquals(202, hand("status", "r-1"));
+        long ends = System.nanoTime() / 1_000_000 + 4_000;
+        assertNotNull(next(arrived));
+        node.close();
+        arrived.clear();
+        silent = true; // for the second that a call at the start waits
+        long began = System.nanoTime() / 1_000_000;
+        node = new DeliveryNode(charter(), NO_LOG);
+        node.start();
+        assertEquals("r-1", next(arrived).id());
+        assertTrue(timeLeft.get() <= ends - (began + 1_000) + 10, timeLeft + " ms left");
+    }
+
     private Charter oldList(HttpServer replaced) throws IOException {
         String text = charter(3, 1024).replace("127.0.0.1:" + endpoint.getAddress().getPort(),
                 "127.0.0.1:" + replaced.getAddress().getPort());
-        return Charter.read(text.getBytes(StandardCharsets.UTF_8),
-                new Charter.Place("file", null, null, null, folder.toString()));
+        return charter(text);
     }
 
     @Test
