--- a/src/test/java/terndyke/decision/FleetTest.java
+++ b/src/test/java/terndyke/decision/FleetTest.java
@@ -45,6 +45,8 @@
         final int[] crowded = new int[200];
         final int[] unreached = new int[200];
         final int[] arrived = new int[20_000]; // calls and probes that reached the endpoint, by step
+        final int[] knowing = new int[20_000]; // those of nodes that had met the outage
+        private final boolean[] met;
         int worth; // done within a second
         int lost;
         private final Random random = new Random(7);
@@ -77,6 +79,7 @@
             this.asked = asked;
             idle = new int[nodes];
             busy = new int[nodes];
+            met = new boolean[nodes];
             for (int number = 0; number < nodes; number++) {
                 fleet.add(born(number, 0));
             }
@@ -177,8 +180,10 @@
                 }
                 boolean room = kept || held < places;
                 boolean takes = room && !down && left >= 1;
+                met[number] |= down;
                 if (!down) {
                     arrived[(int) (at / STEP)]++;
+                    knowing[(int) (at / STEP)] += met[number] ? 1 : 0;
                     left = room ? Math.max(0, left - 1) : left;
                 }
                 (down ? unreached : !room ? crowded : takes ? done : refused)[(int) (at / SECOND)]++;
@@ -192,7 +197,9 @@
                 coming.add(new Coming(at + took, ++sequence, number, life, new Event.ShotEnded(shoot.id(), record.shots++,
                         shoot.endpoint(), ending, took, wait, false, takes, Given.NO_REPORT), room && !down));
             } else if (action instanceof Action.Probe probe) {
+                met[number] |= down;
                 arrived[(int) (at / STEP)] += down ? 0 : 1;
+                knowing[(int) (at / STEP)] += !down && met[number] ? 1 : 0;
                 left = Math.max(0, left - (down ? 0 : 1));
                 coming.add(new Coming(at + 100_000, ++sequence, number, life, new Event.ProbeEnded(probe.endpoint(),
                         down ? Ending.NOT_CONNECTED : Ending.DONE, 100_000, Given.NO_REPORT), false));
@@ -252,6 +259,65 @@
         assertTrue(most < 0.9 && back > 0.85 * 10 * 140 && world.lost == 0, seen);
     }
 
+    /** What comes in a span beyond what the settings allow, less what is chance; of spans that mostly nodes in the know fill. */
+    private static double overChance(World world, int until) {
+        int span = (int) (2 * SECOND / STEP);
+        double worst = Double.NEGATIVE_INFINITY;
+        for (int from = (int) (world.downUntil / STEP); from < until * SECOND / STEP - span; from++) {
+            double may = 0;
+            for (int step = from; step < from + span; step++) {
+                may += 2 * world.capacity(step * STEP) * STEP / SECOND;
+            }
+            int came = World.sum(world.arrived, from, from + span);
+            boolean knew = 3 * World.sum(world.knowing, from, from + span) > 2 * came;
+            worst = knew ? Math.max(worst, came - (may + 2 * Math.sqrt(may) + 2)) : worst;
+        }
+        return worst;
+    }
+
+    /** Guards against nodes of which each keeps to its part while their sum does not, few or many, busy or quiet. */
+    @Test
+    void aColdDestinationGetsNoMoreOfAllNodesTogetherThanChanceExcuses() {
+        StringBuilder seen = new StringBuilder();
+        double worst = Double.NEGATIVE_INFINITY;
+        for (int nodes : new int[] {6, 20, 30, 100}) {
+            for (int rate : new int[] {4, 12, 40, 120}) {
+                World world = new World(nodes, 0.8 * rate);
+                world.limit = at -> rate;
+                world.downFrom = 6 * SECOND;
+                world.downUntil = 13 * SECOND;
+                world.play(32);
+                double over = overChance(world, 30);
+                worst = Math.max(worst, over);
+                seen.append(String.format("%n%d nodes, %d a second: %.1f over, done %d of %d, lost %d", nodes, rate, over,
+                        World.sum(world.done, 22, 30), (int) (8 * 0.8 * rate), world.lost));
+            }
+        }
+        assertTrue(worst <= 0, seen.toString());
+    }
+
+    /** As before, with most nodes killed in the outage: who comes back knows nothing of it. */
+    @Test
+    void aColdDestinationIsSparedByNodesThatReturnFromARestartToo() {
+        StringBuilder seen = new StringBuilder();
+        double worst = Double.NEGATIVE_INFINITY;
+        for (int nodes : new int[] {20, 30}) {
+            for (int rate : new int[] {12, 40}) {
+                World world = new World(nodes, 0.8 * rate);
+                world.limit = at -> rate;
+                world.downFrom = 6 * SECOND;
+                world.downUntil = 13 * SECOND;
+                world.killAt = 11 * SECOND;
+                world.killed = nodes * 7 / 10;
+                world.play(32);
+                double over = overChance(world, 30);
+                worst = Math.max(worst, over);
+                seen.append(String.format("%n%d nodes, %d a second: %.1f over, lost %d", nodes, rate, over, world.lost));
+            }
+        }
+        assertTrue(worst <= 0, seen.toString());
+    }
+
     @Test
     void fewConnectionsAreSharedByMoreNodes() {
         World world = new World(14, 60);
