A deduplicated record's first shot leaves within its own window too

Dispatcher.fire now counts the shot itself. Longer windows than the connect time-out are not touched. The test fails without the change.

--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -114,9 +114,9 @@
     }
 
     /** Rule 6: a wait told by any outcome binds all that follows. */
-    void told(long now, long wait, float[] report) {
+    void told(long now, long wait, float[] load) {
         waitUntil = Math.max(waitUntil, now + wait);
-        limitTold = terms.limitAt() >= 0 && terms.limitAt() < report.length ? report[terms.limitAt()] : limitTold;
+        limitTold = terms.limitAt() >= 0 && terms.limitAt() < load.length ? load[terms.limitAt()] : limitTold;
     }
 
     void ended(Call call, Ending ending, long wait, long now) {
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -6,11 +6,10 @@
 import terndyke.api.*;
 import terndyke.decision.Held.*;
 
-/** The decision module's one entry point: turn() takes what happened and returns what is to be done.
- * The design (RoutePicker over Route's fits) decides where each record goes, and a sick destination holds
- * at most half of the slots. Beside it stand six mechanisms: (1) the pace learned from refusals and (2)
- * suspicion of an outage with its budgeted return, in Destination; (3) late shots, (4) payoff order and
- * (5) holding room, here; (6) lines by key, in Held. */
+/** One entry point: turn() takes what happened and returns what is to be done. The design (RoutePicker over
+ * Route's fits) decides where records go, and a sick destination holds at most half of the slots. Beside it
+ * stand six mechanisms: (1) the pace learned from refusals and (2) suspicion of an outage with its budgeted
+ * return, in Destination; (3) late shots, (4) payoff order, (5) holding room here; (6) key lines in Held. */
 public final class Dispatcher {
     private static final double R_HAT = 0.9, COPY_SHARE = 0.1; // copies that each first shot earns
     private static final long STEP = 20_000, RETRY_REST = 100_000, SOON = 300_000, LATER = 6_000_000;
@@ -427,10 +426,12 @@
             route.addressee.callsOut++;
             sickOut += route.destination.sick(now) ? 1 : 0;
         }
-        actions.add(new Action.Shoot(record.id, route.endpoint, record.abandonAt, record.repeatBy(terms)));
+        record.shots.add(new Shot(route.joinable)); // a copy may run before it leaves, so its window binds it
+        boolean once = record.grade.effect() == ServiceGrade.Effect.UNREPEATABLE;
+        actions.add(new Action.Shoot(record.id, route.endpoint, record.abandonAt,
+                once ? Long.MAX_VALUE : record.repeatBy(terms)));
         route.destination.joined(route.joinable.records++);
         route.joinable.out++;
-        record.shots.add(new Shot(route.joinable));
         record.shotsOut++;
         record.addressee.waiting.remove(record);
     }
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -24,8 +24,7 @@
     int out, open;
     private int crowdedInRow;
     long endedAt; // when a call here was last over
-    private long crowdedUntil;
-    private long goneAt = Long.MAX_VALUE;
+    private long crowdedUntil, goneAt = Long.MAX_VALUE;
 
     Route(long endpoint, int zone, Addressee addressee, Destination destination, Outcomes hall) {
         this.endpoint = endpoint;
--- a/src/test/java/terndyke/decision/DispatcherTest.java
+++ b/src/test/java/terndyke/decision/DispatcherTest.java
@@ -525,4 +525,17 @@
             assertEquals(apart == 800_000, actions.stream().anyMatch(Action.Log.class::isInstance));
         }
     }
+
+    /** Its connection may come up so late that a copy has run meanwhile, and its own window is over. */
+    @Test
+    void aFirstShotOfADeduplicatedRecordLeavesWithinItsWindowOrNotAtAll() {
+        Dispatcher dispatcher = Given.dispatcher(Given.terms(true, true, 40), 0);
+        List<Action> actions = dispatcher.turn(Given.START + 1_000, List.of(Given.taken(1, Given.DEDUPLICATED),
+                Given.taken(2, Given.UNREPEATABLE), Given.taken(3, Given.IDEMPOTENT)));
+        List<Action.Shoot> shots = Given.only(Action.Shoot.class, actions);
+        assertTrue(shots.stream().anyMatch(shot -> shot.id() == 1));
+        for (Action.Shoot shot : shots) {
+            assertEquals(shot.id() == 1 ? Given.START + 1_000 + 4_000_000 - 10_000 : Long.MAX_VALUE, shot.startBy());
+        }
+    }
 }
