Ready only after the module's first turn with the last life's records, as before the wait for the list

Cause, by reading: the first turn with hundreds of owed records takes half a second on a cold node. It was done before the node listened; since the start waits for discovery, ready could come before that turn, and the 1.5 s that notices then have began too early. Desk counts down after the turn's actions now. No test forces it.

--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -55,6 +55,7 @@
     private long sweepAt;
     private long leaveAt = Long.MAX_VALUE;
     private final CountDownLatch begun = new CountDownLatch(1); // what discovery has to tell is known, or it is silent
+    private final CountDownLatch acted = new CountDownLatch(1); // and the module has had its first turn with it
     private volatile boolean over; // no more turns
     private volatile boolean shut; // not even where a turn takes too long
     private volatile boolean emptied; // nothing more is taken from the inbox
@@ -109,9 +110,9 @@
         shut = true;
     }
 
-    /** Waits until the desk knows what discovery has to tell, or that it is silent, so that its first shots may go. */
+    /** Waits until what discovery has to tell is known, or it is silent, and the last life's records have been decided on. */
     public void awaitBegun(long micros) throws InterruptedException {
-        begun.await(micros, TimeUnit.MICROSECONDS);
+        acted.await(micros, TimeUnit.MICROSECONDS);
     }
 
     /** Tells the decision thread something; calls and probes that are out bound how much of this can wait. */
@@ -219,6 +220,7 @@
         begin(now);
         if (begun()) {
             act(now);
+            acted.countDown();
         } else {
             relay.notices(now);
         }
