--- a/src/main/java/terndyke/node/stage/Send.java
+++ b/src/main/java/terndyke/node/stage/Send.java
@@ -119,7 +119,8 @@
                 book.ended(over.owed(), Entry.End.WITHDRAWN, 0);
             }
             over(over.owed(), over.shot(), over.endpoint(), ending, over.at(),
-                    ending == Ending.FULL || ending == Ending.RESET ? result.waitTold() : 0, ending == Ending.NOT_SENT && result.lineBusy(),
+                    ending == Ending.FULL || ending == Ending.RESET ? result.waitTold() : 0,
+                    ending == Ending.NOT_SENT && result.lineBusy(),
                     report(result.load(), reportFields));
         }
     }
--- a/src/test/java/terndyke/ServeProcessTest.java
+++ b/src/test/java/terndyke/ServeProcessTest.java
@@ -68,16 +68,24 @@
         Process node = start("trap '' HUP; ", configuration());
         try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream(), StandardCharsets.UTF_8))) {
             until(log, "serving on");
-            new ProcessBuilder("kill", "-HUP", Long.toString(node.pid())).start().waitFor();
+            hangUp(node);
             until(log, "configuration read again");
-            node.destroy();
-            assertTrue(node.waitFor(10, TimeUnit.SECONDS));
-            assertEquals(0, node.exitValue());
+            endsWell(node);
         } finally {
             node.destroyForcibly();
         }
     }
 
+    private static void hangUp(Process node) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-HUP", Long.toString(node.pid())).start().waitFor();
+    }
+
+    private static void endsWell(Process node) throws InterruptedException {
+        node.destroy();
+        assertTrue(node.waitFor(10, TimeUnit.SECONDS));
+        assertEquals(0, node.exitValue());
+    }
+
     private Process start(String before, Path configuration) throws IOException {
         Matcher run = RUN.matcher(Files.readString(Path.of("deploy/balancer.toml")));
         assertTrue(run.find());
@@ -100,15 +108,13 @@
         Process node = start("", pipe);
         try (BufferedReader log = new BufferedReader(new InputStreamReader(node.getInputStream(), StandardCharsets.UTF_8))) {
             try (OutputStream first = Files.newOutputStream(pipe)) { // opens once the node reads
-                new ProcessBuilder("kill", "-HUP", Long.toString(node.pid())).start().waitFor();
+                hangUp(node);
                 first.write(configuration);
             }
             until(log, "serving on");
             Files.write(pipe, configuration, StandardOpenOption.WRITE); // it is read again
             until(log, "configuration read again");
-            node.destroy();
-            assertTrue(node.waitFor(10, TimeUnit.SECONDS));
-            assertEquals(0, node.exitValue());
+            endsWell(node);
         } finally {
             node.destroyForcibly();
         }
@@ -135,9 +141,7 @@
                 answer = health(port);
             }
             assertEquals("HTTP/1.1 200 OK", answer);
-            node.destroy();
-            assertTrue(node.waitFor(10, TimeUnit.SECONDS));
-            assertEquals(0, node.exitValue());
+            endsWell(node);
         } finally {
             node.destroyForcibly();
             for (SocketChannel one : idle) {
