A test that ready comes after the first turn, and a bound for records that come before it

Found by reading beside it: Desk.early, records handed in before that turn, had no bound but the wait of a second; it is the inbox's.

--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -247,8 +247,11 @@
             watchdog.waited(now - handed.handover().readAt());
             if (begun()) {
                 handed(handed.handover(), now);
-            } else {
+            } else if (early.size() < limits.inbox()) {
                 early.add(handed.handover());
+            } else {
+                counters.add(Count.REFUSED_AT_DOOR);
+                handed.handover().answer().refused(0);
             }
         } else if (word instanceof Word.ShotOver shot) {
             send.ended(shot);
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -22,7 +22,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.Executors;
@@ -45,6 +47,7 @@
 import terndyke.node.discovery.Catalogue;
 import terndyke.node.http.Handover;
 import terndyke.node.http.Reactor;
+import terndyke.node.journal.Entry;
 import terndyke.node.journal.Journal;
 import terndyke.node.stage.Book;
 import terndyke.node.stage.Desk;
@@ -613,6 +616,27 @@
         assertTrue(timeLeft.get() <= ends - (began + 1_000) + 10, timeLeft + " ms left");
     }
 
+    /** From then on the platform waits 1.5 s for the ends of all that ran out of time while the node was away. */
+    @Test
+    void aNodeIsReadyOnlyOnceItHasDecidedOnAllThatItsLastLifeOwed() throws Exception {
+        int owed = 2_000;
+        Charter charter = charter();
+        long now = new NodeClock().now();
+        try (Journal journal = Journal.open(folder, charter.limits().journalBytes(), NO_LOG, new ArrayList<>())) {
+            for (int i = 1; i <= owed; i++) {
+                journal.append(new Entry.Taken(i, "r-" + i, 0, 0, 0, 3, null, now - 4_000_000, now - 1, new byte[0]));
+            }
+        }
+        silent = true; // so that the start stands and waits when the module's first turn begins
+        node = new DeliveryNode(charter, NO_LOG);
+        node.start();
+        assertEquals(owed, node.counters().of(Count.ENDED_BOUNCED) + node.counters().of(Count.ENDED_TERMINATED));
+        Set<String> told = new HashSet<>();
+        while (told.size() < owed) {
+            told.add(next(notices));
+        }
+    }
+
     private Charter oldList(HttpServer replaced) throws IOException {
         String text = charter(3, 1024).replace("127.0.0.1:" + endpoint.getAddress().getPort(),
                 "127.0.0.1:" + replaced.getAddress().getPort());
