Where no probe may bear it out, a lost call stands for a call and a probe

Lines: Destination.ended counted a lost call once, wherever probes are allowed or not. FleetTest plays both ways now.

--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -132,11 +132,11 @@
         } else if (ending != Ending.NOT_SENT && ending != Ending.RECALLED && ending != Ending.CROWDED) {
             refusedInRow = 0;
             failedAt = now;
-            failed++;
+            failed += terms.probes() ? 1 : 2; // where no probe may bear it out, a lost call stands for both
             cleanAt = 2 * failed > fine ? -1 : cleanAt; // one bad endpoint does not undo the others' return
             suspect(now, "failed " + failed + " of " + (failed + fine),
-                    ++failedInRow >= 3 && now - okAt > terms.fallSpan() / 2 || // a good past proves little
-                    failed >= 2 && (failed > fine || failedInRow >= 2 && now - okAt > 2 * terms.fallSpan()));
+                    (failedInRow += terms.probes() ? 1 : 2) >= 3 && now - okAt > terms.fallSpan() / 2
+                    || failed >= 2 && (failed > fine || failedInRow >= 2 && now - okAt > 2 * terms.fallSpan()));
         }
         int part = fine + failed > 12 ? 2 : 1;
         fine /= part;
--- a/src/test/java/terndyke/decision/FleetTest.java
+++ b/src/test/java/terndyke/decision/FleetTest.java
@@ -11,6 +11,8 @@
 import java.util.function.LongToDoubleFunction;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import terndyke.api.Action;
 import terndyke.api.Ending;
@@ -50,6 +52,7 @@
         int worth; // done within a second
         int lost;
         private final Random random;
+        private final boolean probes;
         private final int draw; // 0: all nodes draw the same chances; else each its own, and the records come by it too
         private final PriorityQueue<Coming> coming = new PriorityQueue<>(
                 (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.sequence, b.sequence));
@@ -76,11 +79,12 @@
         }
 
         World(int nodes, double asked) {
-            this(nodes, asked, 0);
+            this(nodes, asked, 0, true);
         }
 
-        World(int nodes, double asked, int draw) {
+        World(int nodes, double asked, int draw, boolean probes) {
             this.draw = draw;
+            this.probes = probes;
             this.random = new Random(7 + draw);
             this.nodes = nodes;
             this.asked = asked;
@@ -93,7 +97,7 @@
         }
 
         private Dispatcher born(int number, long at) {
-            Dispatcher dispatcher = new Dispatcher(Given.terms(draw == 0 ? 1 : 1_000 * draw + number, false, true, 200, nodes,
+            Dispatcher dispatcher = new Dispatcher(Given.terms(draw == 0 ? 1 : 1_000 * draw + number, false, probes, 200, nodes,
                     number, 10, List.of(), false, 0));
             dispatcher.turn(Given.START + at, List.of(new Event.ListTold(
                     List.of(new ListedEndpoint(11, 0, 0, 0, Standing.READY, 0, 1)), true)));
@@ -326,15 +330,16 @@
         assertTrue(worst <= 0, seen.toString());
     }
 
-    /** As both before, where each node draws chances of its own, as nodes in service do. */
-    @Test
-    void aColdDestinationGetsNoMoreThanChanceExcusesOfNodesThatDrawTheirOwnChances() {
+    /** As both before, where each node draws chances of its own, as nodes in service do, with probes or without. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aColdDestinationGetsNoMoreThanChanceExcusesOfNodesThatDrawTheirOwnChances(boolean probes) {
         StringBuilder seen = new StringBuilder();
         double worst = Double.NEGATIVE_INFINITY;
         for (int nodes : new int[] {20, 30, 100}) {
             for (int rate : new int[] {4, 12, 40}) {
                 for (int draw = 1; draw <= 4; draw++) {
-                    World world = new World(nodes, 0.8 * rate, draw);
+                    World world = new World(nodes, 0.8 * rate, draw, probes);
                     world.limit = at -> rate;
                     world.downFrom = 6 * SECOND;
                     world.downUntil = 13 * SECOND;
