A wait is heeded though its answer is cut inside the head

AnswerHeads looks at each whole line as it is read; a wait binds from then on, the connection's other calls as well (toldAt). CallsTest has four cuts; two of them had no wait before.

--- a/src/main/java/terndyke/node/http/AnswerHeads.java
+++ b/src/main/java/terndyke/node/http/AnswerHeads.java
@@ -1,6 +1,10 @@
 package terndyke.node.http;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
+import java.util.function.Consumer;
 import java.util.function.IntConsumer;
 
 import org.apache.hc.core5.http.HttpException;
@@ -11,21 +15,25 @@
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.util.CharArrayBuffer;
 
-/** Reads the heads of the answers on one connection, and says what each first line reads before the rest is there. */
+/** Reads the heads of the answers on one connection, and says what each first line and a wait read before the rest is there. */
 final class AnswerHeads extends DefaultHttpResponseParser<HttpResponse> {
+    private static final String WAIT = "retry-after:";
+
     private final IntConsumer whenFirstLine;
+    private final Consumer<String> whenWait;
     private SessionInputBuffer input;
     private boolean begun; // a head of which the first line has been read
 
-    AnswerHeads(Http1Config http, IntConsumer whenFirstLine) {
+    AnswerHeads(Http1Config http, IntConsumer whenFirstLine, Consumer<String> whenWait) {
         super(http, DefaultHttpResponseFactory.INSTANCE);
         this.whenFirstLine = whenFirstLine;
+        this.whenWait = whenWait;
     }
 
     @Override
     public HttpResponse parse(SessionInputBuffer buffer, boolean end) throws IOException, HttpException {
         input = buffer;
-        HttpResponse head = super.parse(buffer, end);
+        HttpResponse head = super.parse(new Lines(), end);
         begun &= head == null;
         return head;
     }
@@ -42,4 +50,63 @@
     boolean left() {
         return begun || input != null && input.hasData();
     }
+
+    /** A line of a head, which the library keeps to itself until the head is whole. */
+    private void line(CharArrayBuffer line) {
+        if (begun && line.length() > WAIT.length() && line.substring(0, WAIT.length()).equalsIgnoreCase(WAIT)) {
+            whenWait.accept(line.substringTrimmed(WAIT.length(), line.length()));
+        }
+    }
+
+    /** What has come, of which each whole line is looked at. */
+    private final class Lines implements SessionInputBuffer {
+        @Override
+        public boolean readLine(CharArrayBuffer line, boolean end) throws IOException {
+            boolean whole = input.readLine(line, end);
+            if (whole) {
+                line(line);
+            }
+            return whole;
+        }
+
+        @Override
+        public boolean hasData() {
+            return input.hasData();
+        }
+
+        @Override
+        public int length() {
+            return input.length();
+        }
+
+        @Override
+        public int fill(ReadableByteChannel from) throws IOException {
+            return input.fill(from);
+        }
+
+        @Override
+        public int read() {
+            return input.read();
+        }
+
+        @Override
+        public int read(ByteBuffer to, int most) {
+            return input.read(to, most);
+        }
+
+        @Override
+        public int read(ByteBuffer to) {
+            return input.read(to);
+        }
+
+        @Override
+        public int read(WritableByteChannel to, int most) throws IOException {
+            return input.read(to, most);
+        }
+
+        @Override
+        public int read(WritableByteChannel to) throws IOException {
+            return input.read(to);
+        }
+    }
 }
--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -135,6 +135,10 @@
                 if (exchange != null) {
                     exchange.firstLine(status);
                 }
+            }, wait -> {
+                if (exchange != null) {
+                    exchange.waitLine(wait);
+                }
             });
             return heads;
         }
@@ -364,6 +368,7 @@
         private final ByteBuffer body;
         private HttpResponse head;
         private int status; // of the first line, before the rest of the head is there
+        private long wait; // as a line of the head says it, before the rest is there
         private ByteBuffer answer;
         private volatile boolean produced;
         private volatile boolean withheld;
@@ -398,6 +403,13 @@
         /** The first line decides: what reads 200 is done, however the rest of its answer is spoilt. */
         void firstLine(int read) {
             status = read;
+            wait = 0;
+        }
+
+        /** What was decided without knowing of a wait does not leave, though the rest of its answer may never come. */
+        void waitLine(String seconds) {
+            line.peer.toldAt.set(clock.getAsLong());
+            wait = Math.max(wait, micros(seconds));
         }
 
         private boolean done() {
@@ -484,9 +496,6 @@
         public void consumeResponse(HttpResponse response, EntityDetails entity, HttpContext context)
                 throws IOException {
             head = response;
-            if (response.containsHeader("Retry-After")) {
-                line.peer.toldAt.set(clock.getAsLong()); // what was decided without knowing of it does not leave
-            }
             Header connection = response.getFirstHeader("Connection");
             line.last = connection != null && connection.getValue().equalsIgnoreCase("close");
             if (done()) {
@@ -515,16 +524,14 @@
             free();
         }
 
-        /** A wait counts once its head has been read, however the rest of the answer is spoilt. */
+        /** A wait counts once its line has been read, however the rest of the answer is spoilt. */
         private long waitTold() {
-            boolean turnedAway = head != null && (head.getCode() == 429 || head.getCode() == 503);
-            return turnedAway ? micros(head.getFirstHeader("Retry-After")) : 0;
+            return status == 429 || status == 503 ? wait : 0;
         }
 
         private Call.Result result(byte[] content) {
-            Header wait = head.getFirstHeader("Retry-After");
             Header load = head.countHeaders("Server-Load") == 1 ? head.getFirstHeader("Server-Load") : null;
-            return new Call.Result(head.getCode(), null, micros(wait), head.containsHeader("X-Line-Busy"),
+            return new Call.Result(head.getCode(), null, wait, head.containsHeader("X-Line-Busy"),
                     load == null ? null : load.getValue(), content, line.last && line.firstCall);
         }
 
@@ -581,9 +588,9 @@
     }
 
     /** Seconds, whole or decimal, in whole microseconds; 0 where there are none that can be read. */
-    static long micros(Header header) {
+    static long micros(String text) {
         try {
-            double seconds = header == null ? 0 : Double.parseDouble(header.getValue().strip());
+            double seconds = Double.parseDouble(text);
             return seconds > 0 && seconds < 1e6 ? Math.round(seconds * 1e6) : 0;
         } catch (NumberFormatException e) {
             return 0;
--- a/src/test/java/terndyke/node/http/CallsTest.java
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -23,6 +23,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import terndyke.api.Ending;
 import terndyke.node.Counters;
@@ -406,6 +408,21 @@
         assertEquals(250_000, result.waitTold());
     }
 
+    /** The wait's line is there, the end of its head never comes. */
+    @ParameterizedTest
+    @CsvSource({"'429 Slow\r\nRetry-After: 0.25\r\nContent-Le', 250000", "'503 Full\r\nretry-AFTER:2\r\n', 2000000",
+        "'429 Slow\r\nX: Retry-After: 3\r\nContent-Le', 0", "'500 No\r\nRetry-After: 1\r\n', 0"})
+    void aWaitIsToldThoughItsHeadIsCut(String answer, long wait) throws Exception {
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, "HTTP/1.1 " + answer);
+        }
+        Call.Result result = result();
+        assertEquals(Ending.RESET, result.ending());
+        assertEquals(wait, result.waitTold());
+    }
+
     @Test
     void aCallThatIsWithheldBeforeItsConnectionIsUpNeverLeaves() throws Exception {
         endpoint.close();
