A flaky test waits by the record's time, and its stand-in answers pings as endpoints do

aClientThatRepeatsAnotherOnesIdAndLeavesTakesNothingBack failed now and then on busy cores. Shown in a trial: where 3.5 s pass in place of 0.3 until the endpoint answers well, it fails each time. Two causes: the record's four seconds end within the rests of three refusals, and after these refusals the node asks by GET /ping, which the stand-in answered 404 for ever, though the settings allow probes. The record has 25 s and the stand-in answers pings; the trial passes. What is asserted is unchanged, for every test of the class.

--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -82,6 +82,10 @@
     @BeforeEach
     void start() throws IOException {
         endpoint = server("/events", this::event);
+        endpoint.createContext("/ping", call -> {
+            call.sendResponseHeaders(200, -1);
+            call.close();
+        });
         discovery = server("/", this::tell);
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             listen = new InetSocketAddress(free.getInetAddress(), free.getLocalPort());
@@ -331,7 +335,8 @@
     void aClientThatRepeatsAnotherOnesIdAndLeavesTakesNothingBack() throws Exception {
         verdict = call -> 503;
         serve(3);
-        assertEquals(202, hand("order", "r-1"));
+        // time enough for the rests after several refusals, where this machine is slow to let the endpoint answer well
+        assertEquals(202, send(request("order", "r-1").setHeader("Request-Timeout-Ms", "25000"), "body of r-1"));
         for (int i = 0; i < 20; i++) {
             try (Socket socket = new Socket(listen.getAddress(), listen.getPort())) {
                 socket.getOutputStream().write(head("r-1", "Content-Length: 0").getBytes(StandardCharsets.US_ASCII));
