Breaks in a row: each call for the list gets more time, a refused one rests longer

Change: 1, 2 and 3 s of patience with breaks in a row, by chance a little less; rests after a refusal 0.2 s, doubled up to 1 s, by chance. The longest way from discovery's return to an answer is 3 s and 1.5 s, under the 6 s. Two tests, loopback, the test's clock. Also a test that clients who send until the node has ended are answered or left unread; it found nothing.

--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -12,7 +12,7 @@
         long connectTimeout, long idleClose, long lineRest, long restOfAnswer,
         long halfRequest, long firstRequest, long clientIdle, long idleAtLeast, long silentFor, long silentAtLeast,
         int requestsWaiting, int passedOver, long answerWithin,
-        long watchWait, long watchSlack, long resend, long unanswered, long probeTimeout, long unbooked,
+        long watchWait, long watchSlack, int patientBreaks, long resend, long unanswered, long probeTimeout, long unbooked,
         long longestRecord, long longestSleep, long selectEvery, long sweepEvery, long rememberFor,
         long rememberGone, int goneAtMost,
         long startWithin, long rehearse, long leaveWithin, long leaveLast, long lastWords, long closeWithin,
@@ -33,7 +33,7 @@
                 disk, disk / 8,
                 connectTimeout, idleClose <= 0 ? 0 : idleClose * 4 / 5, 10_000, 1_000_000,
                 2_000_000, 2_600_000, 3_000_000, 2_000_000, 2_100_000, 50_000, 8, 8 << 20, 350_000,
-                2_000_000, 700_000, 200_000, 1_000_000, 1_500_000, 1_000_000,
+                2_000_000, 700_000, 3, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
                 60_000_000, 1024, 10_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000,
                 100_000, 1_000_000);
--- a/src/main/java/terndyke/node/discovery/Watch.java
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.function.BiConsumer;
 
 import terndyke.api.Event;
@@ -16,6 +17,9 @@
  * Follows discovery's list: the next call leaves as soon as the last one is answered. Silence on a watch is a break. The
  * first call, and each after a break, asks for the whole list at once, so that it is answered or known to be lost soon.
  * Where the list comes on request alone, these wait until they are asked for. All on the decision thread.
+ *
+ * With each break in a row the next call is given more time, and one that was refused leaves later, by chance, all within
+ * what a told change allows. Guards against nodes that keep a discovery at its limit by giving each call up and asking again.
  */
 public final class Watch {
     private static final byte[] NOTHING = new byte[0];
@@ -36,10 +40,13 @@
     private boolean asked; // where the list comes on request alone: it has been asked for, and no call has failed since
     private boolean failed;
     private boolean tried;
+    private int breaks; // in a row
+    private final Random chance; // nodes that broke together do not come back together
 
     public Watch(Limits limits, InetSocketAddress discovery, Catalogue catalogue, Calls calls, NodeLog log,
-            boolean onRequest, BiConsumer<Long, Call.Result> whenAnswered) {
+            boolean onRequest, Random chance, BiConsumer<Long, Call.Result> whenAnswered) {
         this.onRequest = onRequest;
+        this.chance = chance;
         this.limits = limits;
         this.discovery = Calls.Peer.platform(discovery);
         this.catalogue = catalogue;
@@ -75,9 +82,21 @@
         failed = true;
         asked = false;
         afresh = true;
+        breaks++;
         told(false, text);
     }
 
+    /** How long a call for the whole list may take; after more than one break a little less by chance. */
+    private long patience() {
+        int times = Math.max(1, Math.min(limits.patientBreaks(), breaks));
+        return (long) (limits.unanswered() * (times - (times > 1 ? chance.nextDouble() / 2 : 0)));
+    }
+
+    /** How long to rest after an answer that is no list. */
+    private long rest() {
+        return (long) (Math.min(limits.unanswered(), limits.resend() << Math.min(breaks, 10) - 1) * (0.5 + chance.nextDouble()));
+    }
+
     /** Asks for the list from now on, where it comes on request: who decides when is the module. */
     public void ask(long now) {
         asked = true;
@@ -112,7 +131,7 @@
         line = calls.start(discovery, new Call("GET", path, new String[] {"Host", discovery.host()}, NOTHING),
                 now, result -> whenAnswered.accept(sent, result));
         out = line != null;
-        dueAt = now + (!out ? limits.resend() : afresh ? limits.unanswered() : limits.watchWait() + limits.watchSlack());
+        dueAt = now + (!out ? limits.resend() : afresh ? patience() : limits.watchWait() + limits.watchSlack());
     }
 
     /** Takes in an answer; returns what it tells, or null where it cannot be read. */
@@ -121,9 +140,9 @@
             return null;
         }
         out = false;
-        dueAt = now + limits.resend();
         if (result.status() != 200 || result.body() == null) {
             broke("watch broke: status " + result.status() + ", " + result.ending());
+            dueAt = now + rest();
             return null;
         }
         try {
@@ -131,12 +150,14 @@
             Event.ListTold list = catalogue.take(result.body(), now, unread);
             unread.forEach(text -> log.warn("list: " + text));
             tried = true;
+            breaks = 0;
             afresh = !unread.isEmpty(); // what could not be read is asked for again
             dueAt = afresh ? now + limits.resend() : now;
             told(true, "discovery answers again");
             return list;
         } catch (IOException e) {
             broke("list cannot be read: " + e.getMessage());
+            dueAt = now + rest();
             return null;
         }
     }
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -84,7 +85,7 @@
         send = new Send(limits, counters, catalogue, calls, route, book, timers, charter.reportFields(), log, this);
         relay = new Relay(limits, counters, charter.discovery(), calls, route, book, timers, log, this);
         watch = new Watch(limits, charter.discovery(), catalogue, calls, log, charter.terms().listOnRequest(),
-                (round, result) -> post(new Word.Watched(round, result)));
+                new Random(charter.terms().seed()), (round, result) -> post(new Word.Watched(round, result)));
     }
 
     public long now() {
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -6,13 +6,17 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -27,9 +31,11 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -431,6 +437,70 @@
         assertEquals("r-1", next(arrived).id());
     }
 
+    /**
+     * Clients go on sending on every connection, kept or new, until nobody listens any more. What was answered with 202 is
+     * delivered by this life or the next; what was refused, or closed over unread, is never sent on.
+     */
+    @Test
+    void whoeverSendsUntilTheNodeHasEndedIsAnsweredOrLeftUnread() throws Exception {
+        serve(3);
+        Set<String> taken = ConcurrentHashMap.newKeySet();
+        Set<String> other = ConcurrentHashMap.newKeySet();
+        AtomicInteger refused = new AtomicInteger();
+        List<Future<?>> clients = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            String who = "c" + i + "-";
+            clients.add(threads.submit(() -> {
+                for (int number = 0; number < 100_000;) {
+                    try (Socket socket = new Socket(listen.getAddress(), listen.getPort())) {
+                        socket.setSoTimeout(5_000);
+                        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+                        String first = "";
+                        while (first != null) {
+                            String id = who + ++number;
+                            other.add(id);
+                            socket.getOutputStream().write(head(id, "Content-Length: 0").getBytes(StandardCharsets.US_ASCII));
+                            first = in.readLine();
+                            if (first != null && first.contains(" 202 ")) {
+                                taken.add(id);
+                                other.remove(id);
+                            } else if (first != null) {
+                                assertTrue(first.contains(" 503 "), first);
+                                refused.incrementAndGet();
+                            }
+                            for (String line = first; line != null && !line.isEmpty();) {
+                                line = in.readLine();
+                            }
+                        }
+                    } catch (ConnectException e) {
+                        return null; // it has ended
+                    } catch (SocketException e) {
+                        number++; // closed over a request that was not read
+                    }
+                }
+                return null;
+            }));
+        }
+        until(() -> taken.size() > 40);
+        node.close();
+        for (Future<?> client : clients) {
+            client.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+        }
+        assertTrue(refused.get() > 0);
+        serve(3);
+        Set<String> delivered = new HashSet<>();
+        while (!delivered.containsAll(taken)) {
+            delivered.add(next(arrived).id());
+        }
+        assertEquals(202, hand("status", "last"));
+        for (String id = ""; !id.equals("last");) {
+            id = next(arrived).id();
+            delivered.add(id);
+        }
+        delivered.retainAll(other);
+        assertEquals(Set.of(), delivered, "sent on though refused or unread");
+    }
+
     @Test
     void whoIsReadInTheLastMomentsOfALeavingNodeIsAnsweredToo() throws Exception {
         Counters counters = new Counters();
--- a/src/test/java/terndyke/node/discovery/WatchTest.java
+++ b/src/test/java/terndyke/node/discovery/WatchTest.java
@@ -13,6 +13,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -60,7 +61,7 @@
     private void watch(boolean onRequest) {
         watch = new Watch(limits, new InetSocketAddress(discovery.getInetAddress(), discovery.getLocalPort()),
                 new Catalogue(List.of("east"), List.of("a")), calls, GivenNode.NO_LOG, onRequest,
-                (round, result) -> answers.add(new Answered(round, result)));
+                new Random(1), (round, result) -> answers.add(new Answered(round, result)));
     }
 
     @AfterEach
@@ -84,7 +85,11 @@
     }
 
     private boolean answer(String body) throws Exception {
-        connection.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+        return answer("200 OK", body);
+    }
+
+    private boolean answer(String status, String body) throws Exception {
+        connection.getOutputStream().write(("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
                 .getBytes(StandardCharsets.US_ASCII));
         Answered answered = answers.poll(30, TimeUnit.SECONDS);
         calls.free(free.poll(30, TimeUnit.SECONDS), now);
@@ -132,6 +137,44 @@
         assertEquals("/catalog/members", asked());
     }
 
+    /** A discovery at its limit is kept there by nodes that give up and ask again: they ask less and less, and yet in time. */
+    @Test
+    void aDiscoveryThatGivesNoAnswerIsAskedAgainMoreAndMoreSeldom() throws Exception {
+        watch.keep(now);
+        asked();
+        long began = now;
+        int calls = 1;
+        for (long last = now; now - began < 12_000_000; calls++) {
+            lost();
+            asked();
+            assertTrue(now - last <= TOLD_AFTER - ROOM, "no call for " + (now - last));
+            last = now;
+        }
+        assertTrue(calls <= 8, calls + " calls in 12 s");
+        assertTrue(answer(LIST));
+        assertEquals(now, watch.dueAt(), "and follows it at once");
+    }
+
+    @Test
+    void aDiscoveryThatRefusesIsAskedAgainAfterGrowingRests() throws Exception {
+        watch.keep(now);
+        asked();
+        long began = now;
+        int calls = 1;
+        for (; now - began < 8_000_000; calls++) {
+            assertTrue(!answer("503 Full", ""));
+            assertTrue(watch.dueAt() - now <= TOLD_AFTER - 2 * ROOM, "rests for " + (watch.dueAt() - now));
+            if (watch.dueAt() - now >= limits.idleClose()) { // the next call comes on a connection of its own
+                connection.close();
+                connection = null;
+            }
+            now = watch.dueAt();
+            watch.keep(now);
+            asked();
+        }
+        assertTrue(calls <= 14, calls + " calls in 8 s");
+    }
+
     @Test
     void anAnswerThatHasComeIsTakenInBeforeItsCallIsGivenUp() throws Exception {
         watch.keep(now);
