After a refusal the watch goes on from the known version; only silence starts afresh

Logs: after the first 503 at 3 s no node hears from discovery again; calls for the whole list are refused or unanswered there for tens of seconds. Change: a refusal loses nothing, so its changes go on (Watch.answered); a silence, a reset and a list that cannot be read start afresh. WatchTest asks for it after each refusal.

--- a/src/main/java/terndyke/node/discovery/Watch.java
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -15,7 +15,8 @@
 
 /**
  * Follows discovery's list: the next call leaves as soon as the last one is answered. Silence on a watch is a break. The
- * first call, and each after a break, asks for the whole list at once, so that it is answered or known to be lost soon.
+ * first call, and each after a silence, asks for the whole list at once, so that it is answered or known to be lost soon; after
+ * a refusal the watch goes on from the version that is known.
  * Where the list comes on request alone, these wait until they are asked for. All on the decision thread.
  *
  * With each break in a row the next call is given more time, and one that was refused leaves later, by chance, all within
@@ -60,6 +61,7 @@
         if (now >= dueAt && out) {
             calls.cancel(line);
             out = false;
+            afresh = true;
             broke("no answer from discovery; the list stays in force");
         }
         if (now >= dueAt && (asked || !onRequest)) {
@@ -81,7 +83,6 @@
         tried = true;
         failed = true;
         asked = false;
-        afresh = true;
         breaks++;
         told(false, text);
     }
@@ -141,6 +142,7 @@
         }
         out = false;
         if (result.status() != 200 || result.body() == null) {
+            afresh |= result.status() == 0 || result.status() == 200; // who refuses has lost nothing: its changes go on
             broke("watch broke: status " + result.status() + ", " + result.ending());
             dueAt = now + rest();
             return null;
@@ -156,6 +158,7 @@
             told(true, "discovery answers again");
             return list;
         } catch (IOException e) {
+            afresh = true;
             broke("list cannot be read: " + e.getMessage());
             dueAt = now + rest();
             return null;
--- a/src/test/java/terndyke/node/discovery/WatchTest.java
+++ b/src/test/java/terndyke/node/discovery/WatchTest.java
@@ -157,6 +157,9 @@
 
     @Test
     void aDiscoveryThatRefusesIsAskedAgainAfterGrowingRests() throws Exception {
+        watch.keep(now);
+        asked();
+        assertTrue(answer(LIST));
         watch.keep(now);
         asked();
         long began = now;
@@ -170,7 +173,7 @@
             }
             now = watch.dueAt();
             watch.keep(now);
-            asked();
+            assertEquals("/catalog/members?after=7&wait_ms=" + limits.watchWait() / 1000, asked(), "it goes on from there");
         }
         assertTrue(calls <= 14, calls + " calls in 8 s");
     }
