--- a/src/main/java/terndyke/node/discovery/Watch.java
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -87,9 +87,12 @@
         told(false, text);
     }
 
-    /** How long a call for the whole list may take; after more than one break a little less by chance. */
+    /**
+     * How long a call for the whole list may take; after more than one break a little less by chance. On request the module
+     * rests between calls, so each is short: together they keep within what a told change allows.
+     */
     private long patience() {
-        int times = Math.max(1, Math.min(limits.patientBreaks(), breaks));
+        int times = onRequest ? 1 : Math.max(1, Math.min(limits.patientBreaks(), breaks));
         return (long) (limits.unanswered() * (times - (times > 1 ? chance.nextDouble() / 2 : 0)));
     }
 
--- a/src/test/java/terndyke/node/discovery/WatchTest.java
+++ b/src/test/java/terndyke/node/discovery/WatchTest.java
@@ -218,4 +218,18 @@
         watch.keep(now);
         assertNotNull(asked());
     }
+
+    /** The module's rest of 3.6 s at most comes on top. */
+    @Test
+    void whereTheListComesOnRequestNoCallIsGivenMoreThanASecond() throws Exception {
+        watch(true);
+        for (int i = 0; i < 5; i++) {
+            watch.ask(now);
+            watch.keep(now);
+            asked();
+            long began = now;
+            lost();
+            assertTrue(now - began <= 1_000_000, "given " + (now - began));
+        }
+    }
 }
