--- a/src/main/java/terndyke/decision/Destination.java
+++ b/src/main/java/terndyke/decision/Destination.java
@@ -136,7 +136,7 @@
             cleanAt = 2 * failed > fine ? -1 : cleanAt; // one bad endpoint does not undo the others' return
             suspect(now, "failed " + failed + " of " + (failed + fine),
                     (failedInRow += terms.probes() ? 1 : 2) >= 3 && now - okAt > terms.fallSpan() / 2
-                    || failed >= 2 && (failed > fine || failedInRow >= 2 && now - okAt > 2 * terms.fallSpan()));
+                    || failed > 1 && (failed > fine || failedInRow > 1 && now - okAt > 2 * terms.fallSpan()));
         }
         int part = fine + failed > 12 ? 2 : 1;
         fine /= part;
