--- a/src/test/java/terndyke/decision/FleetTest.java
+++ b/src/test/java/terndyke/decision/FleetTest.java
@@ -271,6 +271,15 @@
         assertTrue(most < 0.9 && back > 0.85 * 10 * 140 && world.lost == 0, seen);
     }
 
+    /** A destination that takes so many calls a second, asked for four fifths of them and down from 6 to 13 s. */
+    private static World cold(int nodes, int rate, int draw, boolean probes) {
+        World world = new World(nodes, 0.8 * rate, draw, probes);
+        world.limit = at -> rate;
+        world.downFrom = 6 * SECOND;
+        world.downUntil = 13 * SECOND;
+        return world;
+    }
+
     /** What comes in a span beyond what the settings allow, less what is chance; of spans that mostly nodes in the know fill. */
     private static double overChance(World world, int until) {
         int span = (int) (2 * SECOND / STEP);
@@ -294,10 +303,7 @@
         double worst = Double.NEGATIVE_INFINITY;
         for (int nodes : new int[] {6, 20, 30, 100}) {
             for (int rate : new int[] {4, 12, 40, 120}) {
-                World world = new World(nodes, 0.8 * rate);
-                world.limit = at -> rate;
-                world.downFrom = 6 * SECOND;
-                world.downUntil = 13 * SECOND;
+                World world = cold(nodes, rate, 0, true);
                 world.play(32);
                 double over = overChance(world, 30);
                 worst = Math.max(worst, over);
@@ -315,10 +321,7 @@
         double worst = Double.NEGATIVE_INFINITY;
         for (int nodes : new int[] {20, 30}) {
             for (int rate : new int[] {12, 40}) {
-                World world = new World(nodes, 0.8 * rate);
-                world.limit = at -> rate;
-                world.downFrom = 6 * SECOND;
-                world.downUntil = 13 * SECOND;
+                World world = cold(nodes, rate, 0, true);
                 world.killAt = 11 * SECOND;
                 world.killed = nodes * 7 / 10;
                 world.play(32);
@@ -339,10 +342,7 @@
         for (int nodes : new int[] {20, 30, 100}) {
             for (int rate : new int[] {4, 12, 40}) {
                 for (int draw = 1; draw <= 4; draw++) {
-                    World world = new World(nodes, 0.8 * rate, draw, probes);
-                    world.limit = at -> rate;
-                    world.downFrom = 6 * SECOND;
-                    world.downUntil = 13 * SECOND;
+                    World world = cold(nodes, rate, draw, probes);
                     world.killAt = draw <= 2 ? 11 * SECOND : Long.MAX_VALUE;
                     world.killed = draw <= 2 ? nodes * 7 / 10 : 0;
                     world.play(32);
