Log how attempts and messages end, why requests are refused, and how long notices take

Change: an attempt without a whole answer is logged with its id, endpoint, ending and how far the answer came; a message that ends without delivery with its attempts; a late notice with its id. Counters for missing, cut, unreadable and stalled answers, unanswered and late notices, and for each reason of a refusal. No decision changes.

--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -13,8 +13,16 @@
         WITHDRAWN, RESTORED, SHOTS, CONNECTIONS_OPENED, DONE, ERROR, FULL, TIMED_OUT, NOT_CONNECTED, RESET, RECALLED,
         NOT_SENT, CROWDED, PROBES, ENDED_DONE, ENDED_BOUNCED, ENDED_TERMINATED, NOTICES_SENT, NOTICES_ANSWERED, LISTS_TOLD,
         JOURNAL_ENTRIES, JOURNAL_COMPACTIONS, JOURNAL_REFUSALS, SLOW_TURNS,
+        /** Answers to any of the node's own calls that did not come whole, by how they fell short. */
+        ANSWERS_MISSING, ANSWERS_CUT, ANSWERS_UNREADABLE, ANSWERS_STALLED,
+        /** Calls with notices that brought no answer in time, and notices answered only after the time that is left for them. */
+        NOTICES_UNANSWERED, NOTICES_LATE,
+        /** Why requests were refused at the door. */
+        REFUSED_LEAVING, REFUSED_READ_LATE, REFUSED_NO_ROOM, REFUSED_CROWDED, REFUSED_FLOODING, REFUSED_INBOX_FULL,
         /** In microseconds: the longest turn of the decision thread, and the longest wait of a record for one. */
-        LONGEST_TURN, LONGEST_WAIT
+        LONGEST_TURN, LONGEST_WAIT,
+        /** In microseconds: the longest time between a message's end and the platform's answer to its notice. */
+        LONGEST_NOTICE
     }
 
     private final Map<Count, AtomicLong> counts = new EnumMap<>(Count.class);
--- a/src/main/java/terndyke/node/http/AnswerHeads.java
+++ b/src/main/java/terndyke/node/http/AnswerHeads.java
@@ -4,8 +4,6 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.WritableByteChannel;
-import java.util.function.Consumer;
-import java.util.function.IntConsumer;
 
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
@@ -19,21 +17,36 @@
 final class AnswerHeads extends DefaultHttpResponseParser<HttpResponse> {
     private static final String WAIT = "retry-after:";
 
-    private final IntConsumer whenFirstLine;
-    private final Consumer<String> whenWait;
+    private final Listener listener;
     private SessionInputBuffer input;
     private boolean begun; // a head of which the first line has been read
 
-    AnswerHeads(Http1Config http, IntConsumer whenFirstLine, Consumer<String> whenWait) {
+    /** Hears of an answer's head while it is being read. */
+    interface Listener {
+
+        /** The first line has been read. */
+        void firstLine(int status);
+
+        /** A Retry-After header has been read, in seconds as it was sent. */
+        void retryAfter(String seconds);
+
+        /** The connection's input ended inside the head. */
+        void cut(AnswerFlaw where);
+    }
+
+    AnswerHeads(Http1Config http, Listener listener) {
         super(http, DefaultHttpResponseFactory.INSTANCE);
-        this.whenFirstLine = whenFirstLine;
-        this.whenWait = whenWait;
+        this.listener = listener;
     }
 
     @Override
     public HttpResponse parse(SessionInputBuffer buffer, boolean end) throws IOException, HttpException {
         input = buffer;
-        HttpResponse head = super.parse(new Lines(), end);
+        HttpResponse head = super.parse(new Lines(), false);
+        if (head == null && end && left()) {
+            listener.cut(begun ? AnswerFlaw.CUT_IN_HEAD : AnswerFlaw.CUT_IN_FIRST_LINE);
+            head = super.parse(new Lines(), true);
+        }
         begun &= head == null;
         return head;
     }
@@ -42,7 +55,7 @@
     protected HttpResponse createMessage(CharArrayBuffer line) throws HttpException {
         HttpResponse head = super.createMessage(line);
         begun = true;
-        whenFirstLine.accept(head.getCode());
+        listener.firstLine(head.getCode());
         return head;
     }
 
@@ -54,7 +67,7 @@
     /** A line of a head, which the library keeps to itself until the head is whole. */
     private void line(CharArrayBuffer line) {
         if (begun && line.length() > WAIT.length() && line.substring(0, WAIT.length()).equalsIgnoreCase(WAIT)) {
-            whenWait.accept(line.substringTrimmed(WAIT.length(), line.length()));
+            listener.retryAfter(line.substringTrimmed(WAIT.length(), line.length()));
         }
     }
 
--- a/src/main/java/terndyke/node/http/Call.java
+++ b/src/main/java/terndyke/node/http/Call.java
@@ -12,21 +12,26 @@
 
     /**
      * What came back. Status is 0 and ending says why where there was no readable answer; shutOut is true where the
-     * answer to a connection's first call was that it is closed again.
+     * answer to a connection's first call was that it is closed again. The flaw is for the log alone.
      */
     public record Result(int status, Ending ending, long waitTold, boolean lineBusy, String load, byte[] body,
-            boolean shutOut) {
+            boolean shutOut, AnswerFlaw flaw) {
 
         public Result(int status, Ending ending, long waitTold, boolean lineBusy, String load, byte[] body) {
             this(status, ending, waitTold, lineBusy, load, body, false);
         }
 
+        public Result(int status, Ending ending, long waitTold, boolean lineBusy, String load, byte[] body,
+                boolean shutOut) {
+            this(status, ending, waitTold, lineBusy, load, body, shutOut, AnswerFlaw.NONE);
+        }
+
         static Result none(Ending ending) {
-            return none(ending, 0);
+            return none(ending, 0, AnswerFlaw.NONE);
         }
 
-        static Result none(Ending ending, long waitTold) {
-            return new Result(0, ending, waitTold, false, null, null);
+        static Result none(Ending ending, long waitTold, AnswerFlaw flaw) {
+            return new Result(0, ending, waitTold, false, null, null, false, flaw);
         }
     }
 
--- a/src/main/java/terndyke/node/http/Calls.java
+++ b/src/main/java/terndyke/node/http/Calls.java
@@ -131,13 +131,26 @@
 
         /** The reader of this connection's answers. */
         AnswerHeads heads(Http1Config http) {
-            heads = new AnswerHeads(http, status -> {
-                if (exchange != null) {
-                    exchange.firstLine(status);
+            heads = new AnswerHeads(http, new AnswerHeads.Listener() {
+                @Override
+                public void firstLine(int status) {
+                    if (exchange != null) {
+                        exchange.firstLine(status);
+                    }
                 }
-            }, wait -> {
-                if (exchange != null) {
-                    exchange.waitLine(wait);
+
+                @Override
+                public void retryAfter(String seconds) {
+                    if (exchange != null) {
+                        exchange.waitLine(seconds);
+                    }
+                }
+
+                @Override
+                public void cut(AnswerFlaw where) {
+                    if (exchange != null) {
+                        exchange.flaw = where;
+                    }
                 }
             });
             return heads;
@@ -380,6 +393,7 @@
         private int passedOver; // bytes of an answer that nobody wants
         private int informed;
         private long due; // when the answer has to be whole
+        private AnswerFlaw flaw = AnswerFlaw.NONE;
 
         Exchange(Line line, Call call, long decidedAt, Call.Sink sink) {
             this.decidedAt = decidedAt;
@@ -396,10 +410,21 @@
         void end(Call.Result result) {
             if (!ended) {
                 ended = true;
+                count(result.flaw());
                 sink.ended(result);
             }
         }
 
+        private void count(AnswerFlaw how) {
+            switch (how) {
+                case NONE -> { }
+                case MISSING -> counters.add(Count.ANSWERS_MISSING);
+                case CUT_IN_FIRST_LINE, CUT_IN_HEAD, CUT_IN_BODY -> counters.add(Count.ANSWERS_CUT);
+                case UNREADABLE -> counters.add(Count.ANSWERS_UNREADABLE);
+                case STALLED -> counters.add(Count.ANSWERS_STALLED);
+            }
+        }
+
         /** The first line decides: what reads 200 is done, however the rest of its answer is spoilt. */
         void firstLine(int read) {
             status = read;
@@ -424,6 +449,7 @@
                 end(new Call.Result(status, null, 0, false, null, null));
             }
             if (now >= due) {
+                flaw = AnswerFlaw.STALLED;
                 failed(null);
             } else if (line.session != null) {
                 line.session.setSocketTimeout(Timeout.ofMicroseconds(due - now));
@@ -532,7 +558,7 @@
         private Call.Result result(byte[] content) {
             Header load = head.countHeaders("Server-Load") == 1 ? head.getFirstHeader("Server-Load") : null;
             return new Call.Result(head.getCode(), null, wait, head.containsHeader("X-Line-Busy"),
-                    load == null ? null : load.getValue(), content, line.last && line.firstCall);
+                    load == null ? null : load.getValue(), content, line.last && line.firstCall, flaw);
         }
 
         @Override
@@ -566,7 +592,7 @@
         @Override
         public void failed(Exception cause) {
             end(done() ? new Call.Result(status, null, 0, false, null, null)
-                    : Call.Result.none(line.allWritten() ? Ending.RESET : Ending.NOT_CONNECTED, waitTold()));
+                    : Call.Result.none(line.allWritten() ? Ending.RESET : Ending.NOT_CONNECTED, waitTold(), flaw(cause)));
             IOSession session = line.session;
             if (session != null) {
                 session.close(CloseMode.IMMEDIATE);
@@ -574,6 +600,20 @@
             free();
         }
 
+        /** Where an answer that did not come whole ended. */
+        private AnswerFlaw flaw(Exception cause) {
+            if (flaw != AnswerFlaw.NONE) {
+                return flaw;
+            }
+            if (cause instanceof HttpException) {
+                return AnswerFlaw.UNREADABLE;
+            }
+            if (head != null) {
+                return AnswerFlaw.CUT_IN_BODY;
+            }
+            return status != 0 ? AnswerFlaw.CUT_IN_HEAD : AnswerFlaw.MISSING;
+        }
+
         @Override
         public void cancel() {
             failed(null);
--- a/src/main/java/terndyke/node/http/Door.java
+++ b/src/main/java/terndyke/node/http/Door.java
@@ -149,8 +149,10 @@
             counters.add(Count.REQUESTS_IN);
             try {
                 handover = decode(path);
-                if (crowded || visit.floods() || !handOver.test(handover)) {
+                Count why = refusal();
+                if (why != null) {
                     counters.add(Count.REFUSED_AT_DOOR);
+                    counters.add(why);
                     refused(0);
                 }
             } catch (IllegalArgumentException e) {
@@ -159,6 +161,17 @@
             }
         }
 
+        /** Hands the message over; why it is refused, or null where it is not. */
+        private Count refusal() {
+            if (crowded) {
+                return Count.REFUSED_CROWDED;
+            }
+            if (visit.floods()) {
+                return Count.REFUSED_FLOODING;
+            }
+            return handOver.test(handover) ? null : Count.REFUSED_INBOX_FULL;
+        }
+
         private Handover decode(String path) {
             if (!request.getMethod().equals("POST")) {
                 throw new IllegalArgumentException("only POST hands a record in");
--- a/src/main/java/terndyke/node/stage/Admit.java
+++ b/src/main/java/terndyke/node/stage/Admit.java
@@ -44,16 +44,29 @@
         } else if (!catalogue.knows(handover.destination())) {
             counters.add(Count.MALFORMED);
             handover.answer().failed(400);
-        } else if (leaving || now - handover.readAt() > limits.answerWithin() || book.held() >= limits.records()
-                || !book.roomFor(handover.body().length)) {
+        } else {
+            Count why = refusal(handover, now);
+            if (why == null) {
+                return true;
+            }
             counters.add(Count.REFUSED_AT_DOOR);
+            counters.add(why);
             handover.answer().refused(0);
-        } else {
-            return true;
         }
         return false;
     }
 
+    /** Why a message that could be taken on is not, or null. */
+    private Count refusal(Handover handover, long now) {
+        if (leaving) {
+            return Count.REFUSED_LEAVING;
+        }
+        if (now - handover.readAt() > limits.answerWithin()) {
+            return Count.REFUSED_READ_LATE;
+        }
+        return book.held() >= limits.records() || !book.roomFor(handover.body().length) ? Count.REFUSED_NO_ROOM : null;
+    }
+
     /** A record that is held or was delivered is not taken on twice; one that was handed back may come again. */
     private static void repeat(Owed known, Handover.Answer answer) {
         if (known.end == null) {
--- a/src/main/java/terndyke/node/stage/Desk.java
+++ b/src/main/java/terndyke/node/stage/Desk.java
@@ -324,6 +324,7 @@
         }
         if (owed != null && owed.open() && owed.taken.takenAt() == handover.readAt()) {
             counters.add(Count.WITHDRAWN);
+            log.message("message " + handover.id() + " is over: its client left before its answer");
             book.ended(owed, Entry.End.WITHDRAWN, 0);
             route.tell(new Event.RecordWithdrawn(owed.taken.number()));
         }
--- a/src/main/java/terndyke/node/stage/Owed.java
+++ b/src/main/java/terndyke/node/stage/Owed.java
@@ -19,6 +19,7 @@
     Handover.Answer answer; // until the client has its answer
     Entry.End end;
     long wait;
+    long endedAt; // since when its notice is owed in this life
     boolean told; // nothing is owed any more
 
     /** One shot; ending is null while it is out. */
--- a/src/main/java/terndyke/node/stage/Relay.java
+++ b/src/main/java/terndyke/node/stage/Relay.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import terndyke.api.Event;
 import terndyke.node.Counters;
@@ -83,11 +84,21 @@
         if (owed.end == null) {
             book.ended(owed, end, wait);
             counters.add(end == Entry.End.BOUNCED ? Count.ENDED_BOUNCED : Count.ENDED_TERMINATED);
+            owed.endedAt = desk.now();
             owing.add(owed);
             trace(end == Entry.End.BOUNCED ? "bounced" : "terminated", owed);
+            if (end != Entry.End.BOUNCED || !owed.shots.isEmpty()) {
+                log.message("message " + owed.taken.id() + " ended " + end + ", "
+                        + (owed.taken.abandonAt() - owed.endedAt) / 1000 + " ms before its time, attempts: " + attempts(owed));
+            }
         }
     }
 
+    private static String attempts(Owed owed) {
+        return owed.shots.stream().map(shot -> shot.endpoint + " " + (shot.ending == null ? "out" : shot.ending))
+                .collect(Collectors.joining(", "));
+    }
+
     private void trace(String verb, Owed owed) {
         if (log.tracing()) {
             Entry.Taken taken = owed.taken;
@@ -101,6 +112,7 @@
         if (owed.told) {
             route.tell(new Event.EndTold(owed.taken.number()));
         } else {
+            owed.endedAt = desk.now();
             owing.add(owed);
         }
     }
@@ -168,9 +180,10 @@
     }
 
     private void unanswered(String why, long now) {
+        counters.add(Count.NOTICES_UNANSWERED);
         if (!silent) {
             silent = true;
-            log.warn("notices unanswered: " + owing.size() + " owed, " + why);
+            log.warn("notices unanswered: " + owing.size() + " owed, first " + owing.iterator().next().taken.id() + ", " + why);
         }
         out = false;
         round++;
@@ -220,7 +233,13 @@
     }
 
     private void told(Owed owed) {
+        long now = desk.now();
         counters.add(Count.NOTICES_ANSWERED);
+        counters.most(Count.LONGEST_NOTICE, now - owed.endedAt);
+        if (now - owed.endedAt > limits.noticeWithin()) {
+            counters.add(Count.NOTICES_LATE);
+            log.message("notice of " + owed.taken.id() + " answered " + (now - owed.endedAt) / 1000 + " ms after its end");
+        }
         owing.remove(owed);
         book.told(owed);
         route.tell(new Event.EndTold(owed.taken.number()));
--- a/src/main/java/terndyke/node/stage/Send.java
+++ b/src/main/java/terndyke/node/stage/Send.java
@@ -11,6 +11,7 @@
 import terndyke.node.Limits;
 import terndyke.node.NodeLog;
 import terndyke.node.discovery.Catalogue;
+import terndyke.node.http.AnswerFlaw;
 import terndyke.node.http.Call;
 import terndyke.node.http.Calls;
 import terndyke.node.journal.Entry;
@@ -106,7 +107,11 @@
         if (shot.ending == null && shot.line != null) {
             // of a record that is over, a connection that was not up in time says nothing of the endpoint
             boolean notConnected = calls.cancel(shot.line) && owed.open();
-            over(owed, shot, endpoint, notConnected ? Ending.NOT_CONNECTED : ending, desk.now(), 0, false, NO_REPORT);
+            Ending how = notConnected ? Ending.NOT_CONNECTED : ending;
+            if (owed.open()) {
+                log.message(attempt(owed, shot, how, desk.now()));
+            }
+            over(owed, shot, endpoint, how, desk.now(), 0, false, NO_REPORT);
         }
     }
 
@@ -115,7 +120,12 @@
         if (over.shot().ending == null) {
             Call.Result result = over.result();
             Ending ending = ending(result);
+            if (ending == Ending.ERROR || result.ending() != null || result.flaw() != AnswerFlaw.NONE) {
+                log.message(attempt(over.owed(), over.shot(), ending, over.at()) + ", status " + result.status()
+                        + ", answer " + result.flaw());
+            }
             if (result.status() == 410) {
+                log.message("message " + over.owed().taken.id() + " is over: status 410");
                 book.ended(over.owed(), Entry.End.WITHDRAWN, 0);
             }
             over(over.owed(), over.shot(), over.endpoint(), ending, over.at(),
@@ -145,6 +155,11 @@
                 at - shot.firedAt), wait, noSlot, owed.end != null, report));
     }
 
+    private static String attempt(Owed owed, Owed.Shot shot, Ending ending, long at) {
+        return "attempt " + shot.number + " of " + owed.taken.id() + " at " + shot.endpoint + ": " + ending + " after "
+                + (at - shot.firedAt) / 1000 + " ms";
+    }
+
     /** What an answer means; what cannot be read is an error. */
     static Ending ending(Call.Result result) {
         if (result.ending() != null) {
