Failing tests: messages cut in their first line or head are taken for whole ones

Cause: the end of a connection's input is read as the end of a line, so half an answer is a delivery or a refusal and half a request is taken on.

--- /dev/null
+++ b/src/test/java/terndyke/HalfMessageProcessTest.java
@@ -0,0 +1,148 @@
+package terndyke;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+import terndyke.RawServer.Answer;
+import terndyke.RawServer.Request;
+
+/**
+ * A node as a process, between an endpoint and clients whose messages break off.
+ *
+ * <p>Seen: a message was taken on, its one attempt ran at the endpoint, and then there was neither another attempt nor a
+ * notice. How: the endpoint's answer ended inside its first line, and the connection was closed in good order. Cause: the
+ * reader took the end of the connection for the end of the line, so {@code HTTP/1.1 200 O} was a delivery. What proves it:
+ * these tests, on answers, and on requests the same.
+ */
+class HalfMessageProcessTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    private static final String REFUSED = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    private static final int MESSAGE_MILLIS = 3_000;
+    private static final int FINAL_ANSWER_MILLIS = 500; // after a message's time
+    private static final int DESTINATIONS = 40; // one for each message, so that no answer speaks for another message
+
+    private final Map<String, AtomicInteger> calls = new ConcurrentHashMap<>();
+    private final Map<String, String> notices = new ConcurrentHashMap<>(); // results by id
+    private RawServer endpoint;
+    private RawServer platform;
+    private ServedNode node;
+
+    @TempDir
+    Path folder;
+
+    @BeforeEach
+    void start() throws IOException {
+        endpoint = new RawServer(this::event);
+        platform = new RawServer(this::tell);
+        node = ServedNode.serve(folder, platform.address());
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        node.close();
+        endpoint.close();
+        platform.close();
+    }
+
+    /** The first call of a message named after a length is answered with so many bytes, any other one whole. */
+    private Answer event(Request call) {
+        if (!call.path().equals("/events")) {
+            return Answer.whole(OK);
+        }
+        String id = call.header("Request-Id");
+        int before = calls.computeIfAbsent(id, unseen -> new AtomicInteger()).getAndIncrement();
+        String[] words = id.split("-");
+        if (before > 0 || !words[0].equals("cut")) {
+            return Answer.whole(OK);
+        }
+        return Answer.cut(words[1].equals("ok") ? OK : REFUSED, Integer.parseInt(words[2]));
+    }
+
+    private Answer tell(Request request) {
+        if (request.path().equals("/v2/finals")) {
+            request.body().lines().map(line -> line.split("\"")).forEach(words -> notices.put(words[3], words[7]));
+            return Answer.whole("HTTP/1.1 204 No Content\r\n\r\n");
+        }
+        if (request.path().contains("after=")) {
+            return Answer.SILENCE;
+        }
+        return Answer.json(ServedNode.list(endpoint.address(), DESTINATIONS));
+    }
+
+    private int callsOf(String id) {
+        AtomicInteger count = calls.get(id);
+        return count == null ? 0 : count.get();
+    }
+
+    /** Cut at each byte of its first line, the line end included: only a whole line with 200 is a delivery. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void anAnswerCutInItsFirstLineIsNoDelivery() throws Exception {
+        List<String> ids = new ArrayList<>();
+        for (int length = 0; length <= OK.indexOf('\n'); length++) {
+            String id = "cut-ok-" + length;
+            ids.add(id);
+            assertEquals("HTTP/1.1 202 Accepted", node.handIn("status", id, length, MESSAGE_MILLIS));
+        }
+        Thread.sleep(MESSAGE_MILLIS + FINAL_ANSWER_MILLIS);
+        List<String> forgotten = ids.stream().filter(id -> callsOf(id) < 2 && !notices.containsKey(id)).toList();
+        assertEquals(List.of(), forgotten, "neither called again nor ended by a notice");
+    }
+
+    /** Nor does a first line with 503 that is not whole prove that nothing ran: it is not called again, nor may a client. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void anAnswerCutInItsFirstLineIsNoProofThatNothingRan() throws Exception {
+        List<String> ids = new ArrayList<>();
+        for (int length = 0; length <= REFUSED.indexOf('\n'); length++) {
+            String id = "cut-refused-" + length;
+            ids.add(id);
+            assertEquals("HTTP/1.1 202 Accepted", node.handIn("payment", id, length, MESSAGE_MILLIS));
+        }
+        Thread.sleep(MESSAGE_MILLIS + FINAL_ANSWER_MILLIS);
+        assertEquals(List.of(), ids.stream().filter(id -> callsOf(id) > 1).toList(), "called again");
+        assertEquals(List.of(), ids.stream().filter(id -> !"dead".equals(notices.get(id))).toList(), "not ended as failed");
+    }
+
+    /** A client ends its sending at each byte of a head: what is taken on was never handed in so. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aRequestCutInItsHeadIsNotTakenOn() throws Exception {
+        List<String> takenOn = new ArrayList<>();
+        for (int missing = 1; missing < wholeHead("half-1").length(); missing++) {
+            String head = wholeHead("half-" + missing);
+            String answer = node.sendAndEnd(head.substring(0, head.length() - missing), true);
+            if (answer.startsWith("HTTP/1.1 2")) {
+                takenOn.add("half-" + missing);
+            }
+        }
+        assertEquals("HTTP/1.1 202 Accepted", node.handIn("status", "whole", 0, MESSAGE_MILLIS));
+        for (long end = System.nanoTime() + 10_000_000_000L; callsOf("whole") == 0 && System.nanoTime() < end;) {
+            Thread.sleep(10);
+        }
+        assertEquals(List.of(), takenOn);
+        assertEquals(Set.of("whole"), calls.keySet(), "forwarded");
+        assertTrue(notices.isEmpty());
+    }
+
+    /** A head without a body, which needs no length: only its blank line ends it. */
+    private static String wholeHead(String id) {
+        return "POST /status HTTP/1.1\r\nHost: n0\r\nRequest-Id: " + id + "\r\nX-Consignee: dest=0\r\n"
+                + "Request-Timeout-Ms: 4000\r\n\r\n";
+    }
+}
--- /dev/null
+++ b/src/test/java/terndyke/RawServer.java
@@ -0,0 +1,132 @@
+package terndyke;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+
+/** A server on loopback that answers each request with the very bytes it is told to, a thread for each connection. */
+final class RawServer implements AutoCloseable {
+    private static final int BACKLOG = 64;
+
+    private final ServerSocket listener = new ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"));
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    private final Function<Request, Answer> answers;
+
+    /** A whole request, and how many came on its connection before it. */
+    record Request(String path, Map<String, String> headers, String body, int before) {
+        String header(String name) {
+            return headers.get(name.toLowerCase(Locale.ROOT));
+        }
+    }
+
+    /** The bytes of an answer, none for silence; where it ends the connection, that is in good order, by a FIN. */
+    record Answer(String bytes, boolean endsConnection) {
+        static final Answer SILENCE = new Answer("", false);
+
+        static Answer whole(String bytes) {
+            return new Answer(bytes, false);
+        }
+
+        static Answer cut(String whole, int length) {
+            return new Answer(whole.substring(0, length), true);
+        }
+
+        static Answer json(String content) {
+            return whole("HTTP/1.1 200 OK\r\nContent-Length: " + content.length() + "\r\n\r\n" + content);
+        }
+    }
+
+    RawServer(Function<Request, Answer> answers) throws IOException {
+        this.answers = answers;
+        daemon(this::accept);
+    }
+
+    private static void daemon(Runnable work) {
+        Thread thread = new Thread(work, "raw-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket connection = listener.accept();
+                connections.add(connection);
+                daemon(() -> serve(connection));
+            }
+        } catch (IOException e) {
+            // closed
+        }
+    }
+
+    private void serve(Socket connection) {
+        try (connection) {
+            connection.setTcpNoDelay(true);
+            InputStream in = connection.getInputStream();
+            for (int before = 0;; before++) {
+                Request request = read(in, before);
+                if (request == null) {
+                    return;
+                }
+                Answer answer = answers.apply(request);
+                connection.getOutputStream().write(answer.bytes().getBytes(StandardCharsets.ISO_8859_1));
+                if (answer.endsConnection()) {
+                    connection.shutdownOutput();
+                    in.transferTo(java.io.OutputStream.nullOutputStream()); // to its end: no reset destroys the answer
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            // the other side has gone
+        } finally {
+            connections.remove(connection);
+        }
+    }
+
+    private static Request read(InputStream in, int before) throws IOException {
+        String first = line(in);
+        if (first == null) {
+            return null;
+        }
+        Map<String, String> headers = new TreeMap<>();
+        for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
+            String[] sides = line.split(":", 2);
+            headers.put(sides[0].toLowerCase(Locale.ROOT), sides[1].strip());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        return new Request(first.split(" ")[1], headers, new String(in.readNBytes(length), StandardCharsets.ISO_8859_1), before);
+    }
+
+    private static String line(InputStream in) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int next = in.read(); next != '\n'; next = in.read()) {
+            if (next < 0) {
+                return null;
+            }
+            line.append((char) next);
+        }
+        return line.toString().strip();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/terndyke/ServedNode.java
@@ -0,0 +1,152 @@
+package terndyke;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** A node as the deployment starts it: by the line in deploy/balancer.toml, as a process of its own. */
+final class ServedNode implements AutoCloseable {
+    private static final Pattern RUN = Pattern.compile("(?s)\\nrun = \"\"\"(.*?)\"\"\"");
+    private static final int PATIENCE_MILLIS = 10_000;
+    private static final String SETTINGS = """
+            {"balancers":1,"rank":0,"zone":0,"dcs":["east"],"kinds":["a"],"discovery":"push","weightSource":"off",
+             "resolution":0.005,"overShareWorth":0.1,"familyInfo":{"callsOut":4,"kindApart":[false],"perCall":[1]},
+             "ceilings":{"maxOpen":40,"maxAttempts":8,"secondCopies":true,"cancelling":true,"probes":true,
+               "retryAfter":true,"maxRetryAfter":2.0,"connectTimeout":0.5,"connIdle":15.0},
+             "report":{"how":"off","fields":[]},
+             "obligations":{"stopSendingWithin":2.0,"fallMultiple":2.0,"overloadFor":2.0,"coldShare":0.2,
+               "cold":11.0,"keyQuiet":0.1,"answerSlack":0.02},
+             "classes":[{"name":"status","target":1.5,"deadline":5.0,"semantics":"retryable","points":3.0},
+               {"name":"payment","target":2.5,"deadline":5.0,"semantics":"fragile","points":1.0}]}""";
+
+    private final Process process;
+    private final BufferedReader log;
+    private final int port;
+
+    private ServedNode(Process process, int port) {
+        this.process = process;
+        this.port = port;
+        log = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+    }
+
+    static String freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+
+    private static int port(String address) {
+        return Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    }
+
+    /** Writes a configuration with nothing known of endpoints. */
+    static Path configuration(Path folder, String listen, String discovery) throws IOException {
+        return Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"listen\":\"" + listen
+                + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":192,\"sockets\":256,"
+                + "\"disk_mb\":3},\"known\":{},\"settings\":" + SETTINGS + "}");
+    }
+
+    /** Starts a node by a shell that does something else first. */
+    static ServedNode start(Path folder, String before, Path configuration, String listen) throws IOException {
+        Matcher run = RUN.matcher(Files.readString(Path.of("deploy/balancer.toml")));
+        assertTrue(run.find());
+        String line = run.group(1).replace("\\\n", " ").replace("-jar target/terndyke.jar",
+                "-cp '" + System.getProperty("java.class.path") + "' terndyke.Main");
+        ProcessBuilder start = new ProcessBuilder("/bin/sh", "-c", before + line).redirectErrorStream(true);
+        start.environment().put("NODE_CONFIG", configuration.toString());
+        start.environment().put("NODE_STATE", folder.resolve("state").toString());
+        Files.createDirectories(folder.resolve("state"));
+        return new ServedNode(start.start(), port(listen));
+    }
+
+    /** Starts a node that follows discovery there, and waits until it serves. */
+    static ServedNode serve(Path folder, String discovery) throws IOException {
+        String listen = freeAddress();
+        ServedNode node = start(folder, "", configuration(folder, listen, discovery), listen);
+        node.awaitLog("serving on");
+        return node;
+    }
+
+    int port() {
+        return port;
+    }
+
+    /** Reads the log up to a line with these words. */
+    void awaitLog(String words) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains(words)) {
+            line = log.readLine();
+        }
+        assertTrue(line != null, "the log ended without: " + words);
+    }
+
+    void hangUp() throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    }
+
+    void endsWell() throws InterruptedException {
+        process.destroy();
+        assertTrue(process.waitFor(PATIENCE_MILLIS, TimeUnit.MILLISECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    /** Discovery's list of so many destinations, numbered from 0, each with one endpoint at the same address. */
+    static String list(String address, int destinations) {
+        return IntStream.range(0, destinations).mapToObj(number -> "{\"uid\":\"s-" + number + "\",\"endpoint\":\"" + address
+                + "\",\"az\":\"east\",\"model\":\"a\",\"pod_group\":" + number
+                + ",\"state\":\"active\",\"capacity_hint\":50,\"boot_ms\":0}")
+                .collect(Collectors.joining(",", "{\"rev\":1,\"all\":true,\"targets\":[", "]}"));
+    }
+
+    /** Hands a message in on a connection of its own; the first line of the answer. */
+    String handIn(String grade, String id, int destination, long millis) throws IOException {
+        String body = "body of " + id;
+        String request = "POST /" + grade + " HTTP/1.1\r\nHost: n0\r\nRequest-Id: " + id + "\r\nX-Consignee: dest=" + destination
+                + "\r\nRequest-Timeout-Ms: " + millis + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+        return sendAndEnd(request, false).lines().findFirst().orElse("");
+    }
+
+    /**
+     * Sends bytes on a connection of their own, and where asked to ends the sending behind them; all that comes back: up to
+     * the end of the connection where the sending has ended, else up to the end of a head.
+     */
+    String sendAndEnd(String bytes, boolean ends) throws IOException {
+        try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            client.setSoTimeout(PATIENCE_MILLIS);
+            client.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            if (ends) {
+                client.shutdownOutput();
+            }
+            StringBuilder answer = new StringBuilder();
+            for (int next = client.getInputStream().read(); next >= 0; next = client.getInputStream().read()) {
+                answer.append((char) next);
+                if (!ends && answer.toString().endsWith("\r\n\r\n")) {
+                    break;
+                }
+            }
+            return answer.toString();
+        } catch (SocketException e) {
+            return ""; // closed by a reset
+        }
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+}
