The end of a connection ends no line, head or chunk: half a message proves nothing

Cause: the library's line reader hands out what is left as a line at the end of input, its parser then counts the head as whole, and its chunk decoder the body. AnswerHeads and RequestHeads passed the end of input on to it. A 200 cut behind its digits, closed in good order, was booked as delivered, with no further attempt and no notice; half a 503, 429, 410 or 504 proved that nothing ran; half a request was taken on.

Change: both sides read lines through WholeLines, which knows no end of input, and chunks through WholeChunks; a head that the end cuts is an error of its own (reset, or 400). Of a Retry-After whose digits break off, what is there is heeded as before.

--- a/src/main/java/terndyke/node/http/AnswerHeads.java
+++ b/src/main/java/terndyke/node/http/AnswerHeads.java
@@ -1,10 +1,8 @@
 package terndyke.node.http;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.ReadableByteChannel;
-import java.nio.channels.WritableByteChannel;
 
+import org.apache.hc.core5.http.ConnectionClosedException;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.config.Http1Config;
@@ -39,15 +37,17 @@
         this.listener = listener;
     }
 
+    /** The end of the input ends no head: half a first line says nothing of what became of the call, nor does half a header. */
     @Override
-    public HttpResponse parse(SessionInputBuffer buffer, boolean end) throws IOException, HttpException {
+    public HttpResponse parse(SessionInputBuffer buffer, boolean endOfInput) throws IOException, HttpException {
         input = buffer;
-        HttpResponse head = super.parse(new Lines(), false);
-        if (head == null && end && left()) {
+        HttpResponse head = super.parse(new Lines(buffer), false);
+        begun &= head == null;
+        if (head == null && endOfInput && left()) {
+            lineThatBreaksOff();
             listener.cut(begun ? AnswerFlaw.CUT_IN_HEAD : AnswerFlaw.CUT_IN_FIRST_LINE);
-            head = super.parse(new Lines(), true);
+            throw new ConnectionClosedException("the connection ended inside the head of an answer");
         }
-        begun &= head == null;
         return head;
     }
 
@@ -71,55 +71,27 @@
         }
     }
 
-    /** What has come, of which each whole line is looked at. */
-    private final class Lines implements SessionInputBuffer {
-        @Override
-        public boolean readLine(CharArrayBuffer line, boolean end) throws IOException {
-            boolean whole = input.readLine(line, end);
-            if (whole) {
-                line(line);
-            }
-            return whole;
-        }
-
-        @Override
-        public boolean hasData() {
-            return input.hasData();
-        }
-
-        @Override
-        public int length() {
-            return input.length();
-        }
-
-        @Override
-        public int fill(ReadableByteChannel from) throws IOException {
-            return input.fill(from);
-        }
-
-        @Override
-        public int read() {
-            return input.read();
-        }
-
-        @Override
-        public int read(ByteBuffer to, int most) {
-            return input.read(to, most);
-        }
-
-        @Override
-        public int read(ByteBuffer to) {
-            return input.read(to);
+    /** A wait whose digits break off is no longer than the one that was told, so that much of it is heeded. */
+    private void lineThatBreaksOff() throws IOException {
+        CharArrayBuffer half = new CharArrayBuffer(WAIT.length());
+        if (input.readLine(half, true)) {
+            line(half);
         }
+    }
 
-        @Override
-        public int read(WritableByteChannel to, int most) throws IOException {
-            return input.read(to, most);
+    /** Lines of which each is looked at. */
+    private final class Lines extends WholeLines {
+        Lines(SessionInputBuffer input) {
+            super(input);
         }
 
         @Override
-        public int read(WritableByteChannel to) throws IOException {
-            return input.read(to);
+        public boolean readLine(CharArrayBuffer line, boolean endOfInput) throws IOException {
+            boolean whole = super.readLine(line, endOfInput);
+            if (whole) {
+                line(line);
+            }
+            return whole;
         }
     }
 }
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.Semaphore;
@@ -10,21 +11,27 @@
 import java.util.concurrent.TimeoutException;
 
 import org.apache.hc.core5.concurrent.FutureCallback;
+import org.apache.hc.core5.http.ContentLengthStrategy;
 import org.apache.hc.core5.http.HttpConnection;
+import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.config.CharCodingConfig;
 import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
 import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
+import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
 import org.apache.hc.core5.http.impl.Http1StreamListener;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexer;
-import org.apache.hc.core5.http.impl.nio.ClientHttp1StreamDuplexerFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestWriterFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpResponseWriterFactory;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1IOEventHandler;
 import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexer;
-import org.apache.hc.core5.http.impl.nio.ServerHttp1StreamDuplexerFactory;
+import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
+import org.apache.hc.core5.http.nio.ContentDecoder;
+import org.apache.hc.core5.http.nio.HandlerFactory;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.http.nio.command.ShutdownCommand;
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.io.CloseMode;
@@ -108,15 +115,46 @@
 
     private IOEventHandler handler(ProtocolIOSession session, Object attachment) {
         if (attachment instanceof Calls.Line line) {
-            ClientHttp1IOEventHandler handler = new LineSide(line, new ClientHttp1StreamDuplexerFactory(
-                    HttpProcessorBuilder.create().build(), http, CharCodingConfig.DEFAULT,
-                    DefaultConnectionReuseStrategy.INSTANCE, () -> line.heads(http), calls, null).create(session));
+            ClientHttp1IOEventHandler handler = new LineSide(line, new CallStream(session, line));
             line.opened(session, handler);
             return handler;
         }
         return client(session);
     }
 
+    /** The messages on a connection of the node's own. */
+    private final class CallStream extends ClientHttp1StreamDuplexer {
+        CallStream(ProtocolIOSession session, Calls.Line line) {
+            super(session, HttpProcessorBuilder.create().build(), http, CharCodingConfig.DEFAULT,
+                    DefaultConnectionReuseStrategy.INSTANCE, line.heads(http), calls.create(),
+                    DefaultContentLengthStrategy.INSTANCE, DefaultContentLengthStrategy.INSTANCE, null);
+        }
+
+        @Override
+        protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel, SessionInputBuffer buffer,
+                BasicHttpTransportMetrics metrics) throws HttpException {
+            return length == ContentLengthStrategy.CHUNKED ? new WholeChunks(channel, buffer, http, metrics)
+                    : super.createContentDecoder(length, channel, buffer, metrics);
+        }
+    }
+
+    /** The messages on a client's connection. */
+    private final class ClientStream extends ServerHttp1StreamDuplexer {
+        ClientStream(ProtocolIOSession session, HandlerFactory<AsyncServerExchangeHandler> exchanges,
+                Http1StreamListener listener) {
+            super(session, HttpProcessorBuilder.create().build(), exchanges, "http", http, CharCodingConfig.DEFAULT,
+                    DefaultConnectionReuseStrategy.INSTANCE, new RequestHeads(http), answers.create(),
+                    DefaultContentLengthStrategy.INSTANCE, DefaultContentLengthStrategy.INSTANCE, listener, cause -> { });
+        }
+
+        @Override
+        protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel, SessionInputBuffer buffer,
+                BasicHttpTransportMetrics metrics) throws HttpException {
+            return length == ContentLengthStrategy.CHUNKED ? new WholeChunks(channel, buffer, http, metrics)
+                    : super.createContentDecoder(length, channel, buffer, metrics);
+        }
+    }
+
     /** A connection of the node's own. */
     private static final class LineSide extends ClientHttp1IOEventHandler {
         private final Calls.Line line;
@@ -194,10 +232,8 @@
                 visit.answered();
             }
         };
-        return new ClientSide(visit, new ServerHttp1StreamDuplexerFactory(HttpProcessorBuilder.create().build(),
-                (request, context) -> door.exchange(visit, visits.crowded()), http, CharCodingConfig.DEFAULT,
-                DefaultConnectionReuseStrategy.INSTANCE, () -> new RequestHeads(http), answers, whenAnswered, e -> { })
-                .create("http", session));
+        return new ClientSide(visit, new ClientStream(session,
+                (request, context) -> door.exchange(visit, visits.crowded()), whenAnswered));
     }
 
     /** A client for whom there is no place: closed at once. */
--- a/src/main/java/terndyke/node/http/RequestHeads.java
+++ b/src/main/java/terndyke/node/http/RequestHeads.java
@@ -11,6 +11,7 @@
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
  * Reads one client's heads. Where two readers could see the end of a request in two places, it is refused, and nothing
@@ -22,20 +23,25 @@
     private static final String DIGITS = "\\d{1,18}";
 
     private boolean broken;
+    private boolean begun; // a head of which the first line has been read
 
     RequestHeads(Http1Config http) {
         super(http, DefaultHttpRequestFactory.INSTANCE);
     }
 
+    /** The end of the input ends no head: a client that stops inside one has handed nothing in. */
     @Override
-    public HttpRequest parse(SessionInputBuffer buffer, boolean end) throws IOException, HttpException {
+    public HttpRequest parse(SessionInputBuffer buffer, boolean endOfInput) throws IOException, HttpException {
         if (broken) {
             return null;
         }
         try {
-            HttpRequest request = super.parse(buffer, end);
+            HttpRequest request = super.parse(new WholeLines(buffer), false);
+            begun &= request == null;
             if (request != null) {
                 checkLength(request);
+            } else if (endOfInput && (begun || buffer.hasData())) {
+                throw new ProtocolException("the connection ended inside the head of a request");
             }
             return request;
         } catch (HttpException e) {
@@ -44,6 +50,13 @@
         }
     }
 
+    @Override
+    protected HttpRequest createMessage(CharArrayBuffer line) throws HttpException {
+        HttpRequest request = super.createMessage(line);
+        begun = true;
+        return request;
+    }
+
     private static void checkLength(HttpRequest request) throws ProtocolException {
         Header[] lengths = request.getHeaders("Content-Length");
         Header[] codings = request.getHeaders("Transfer-Encoding");
--- /dev/null
+++ b/src/main/java/terndyke/node/http/WholeChunks.java
@@ -0,0 +1,39 @@
+package terndyke.node.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+
+import org.apache.hc.core5.http.ConnectionClosedException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.BasicHttpTransportMetrics;
+import org.apache.hc.core5.http.impl.nio.ChunkDecoder;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+
+/**
+ * A chunked body, whole only once the whole line of its last chunk has come. The library takes the end of the input for the
+ * end of a chunk's size, so that a body cut behind the first digit of {@code 0a} would count as a whole one.
+ */
+final class WholeChunks extends ChunkDecoder {
+    private boolean endOfInput;
+
+    WholeChunks(ReadableByteChannel channel, SessionInputBuffer buffer, Http1Config http, BasicHttpTransportMetrics metrics) {
+        super(channel, new WholeLines(buffer), http, metrics);
+    }
+
+    @Override
+    protected int fillBufferFromChannel() throws IOException {
+        int filled = super.fillBufferFromChannel();
+        endOfInput |= filled < 0;
+        return filled;
+    }
+
+    @Override
+    public int read(ByteBuffer to) throws IOException {
+        int read = super.read(to);
+        if (read <= 0 && endOfInput && !isCompleted()) {
+            throw new ConnectionClosedException("the connection ended inside a chunked body");
+        }
+        return read;
+    }
+}
--- /dev/null
+++ b/src/main/java/terndyke/node/http/WholeLines.java
@@ -0,0 +1,66 @@
+package terndyke.node.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ReadableByteChannel;
+import java.nio.channels.WritableByteChannel;
+
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
+import org.apache.hc.core5.util.CharArrayBuffer;
+
+/**
+ * A connection's input in which a line ends by its line end alone. The library also ends it where the input ends, so that a
+ * status line, a header or a chunk size that breaks off would count as a whole one.
+ */
+class WholeLines implements SessionInputBuffer {
+    private final SessionInputBuffer input;
+
+    WholeLines(SessionInputBuffer input) {
+        this.input = input;
+    }
+
+    @Override
+    public boolean readLine(CharArrayBuffer line, boolean endOfInput) throws IOException {
+        return input.readLine(line, false);
+    }
+
+    @Override
+    public boolean hasData() {
+        return input.hasData();
+    }
+
+    @Override
+    public int length() {
+        return input.length();
+    }
+
+    @Override
+    public int fill(ReadableByteChannel from) throws IOException {
+        return input.fill(from);
+    }
+
+    @Override
+    public int read() {
+        return input.read();
+    }
+
+    @Override
+    public int read(ByteBuffer to, int most) {
+        return input.read(to, most);
+    }
+
+    @Override
+    public int read(ByteBuffer to) {
+        return input.read(to);
+    }
+
+    @Override
+    public int read(WritableByteChannel to, int most) throws IOException {
+        return input.read(to, most);
+    }
+
+    @Override
+    public int read(WritableByteChannel to) throws IOException {
+        return input.read(to);
+    }
+}
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -258,9 +258,16 @@
 
     /** What a client reads in answer to bytes of its own, up to the end of the connection. */
     private String raw(String bytes) throws IOException {
+        return raw(bytes, false);
+    }
+
+    private String raw(String bytes, boolean endsSending) throws IOException {
         try (Socket socket = new Socket(listen.getAddress(), listen.getPort())) {
             socket.setSoTimeout(4_000);
             socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            if (endsSending) {
+                socket.shutdownOutput();
+            }
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         } catch (java.net.SocketException e) {
             return ""; // closed by a reset
@@ -290,6 +297,27 @@
         assertEquals(1, node.counters().of(Count.TAKEN));
     }
 
+    @Test
+    void aBodyThatBreaksOffIsNotTakenOn() throws Exception {
+        serve(3);
+        String chunked = head("r-1", "Transfer-Encoding: chunked");
+        for (String half : List.of(chunked, chunked + "5\r\nhel", chunked + "5\r\nhello\r\n", chunked + "5\r\nhello\r\n0",
+                chunked + "0", head("r-1", "Content-Length: 5") + "hell")) {
+            String answer = raw(half, true);
+            assertTrue(answer.isEmpty() || answer.matches("(?s)HTTP/1.1 [45]\\d\\d .*"), half + ": " + answer);
+        }
+        assertTrue(raw(head("r-2", "Transfer-Encoding: chunked") + "5\r\nhello\r\n0\r\n\r\n", false).startsWith("HTTP/1.1 202"));
+        assertEquals("r-2", next(arrived).id());
+        assertEquals(1, node.counters().of(Count.TAKEN));
+    }
+
+    @Test
+    void aWholeRequestIsAnsweredThoughItsClientEndsItsSendingBehindIt() throws Exception {
+        serve(3);
+        assertTrue(raw(head("r-1", "Content-Length: 5") + "hello", true).startsWith("HTTP/1.1 202"));
+        assertEquals("r-1", next(arrived).id());
+    }
+
     @Test
     void aRequestBehindABrokenOneOnTheSameConnectionIsNotRead() throws Exception {
         verdict = call -> SILENT;
--- a/src/test/java/terndyke/node/http/CallsTest.java
+++ b/src/test/java/terndyke/node/http/CallsTest.java
@@ -411,7 +411,7 @@
     /** The wait's line is there, the end of its head never comes. */
     @ParameterizedTest
     @CsvSource({"'429 Slow\r\nRetry-After: 0.25\r\nContent-Le', 250000", "'503 Full\r\nretry-AFTER:2\r\n', 2000000",
-        "'429 Slow\r\nX: Retry-After: 3\r\nContent-Le', 0", "'500 No\r\nRetry-After: 1\r\n', 0"})
+        "'429 Slow\r\nX: Retry-After: 3\r\nContent-Le', 0", "'429 Slow\r\nRetry-After: 1', 1000000", "'429 Slow\r\nRetry-After:', 0", "'500 No\r\nRetry-After: 1\r\n', 0"})
     void aWaitIsToldThoughItsHeadIsCut(String answer, long wait) throws Exception {
         call(BODY, 0);
         try (Socket connection = endpoint.accept()) {
@@ -423,6 +423,25 @@
         assertEquals(wait, result.waitTold());
     }
 
+    /** The connection ends in good order, before the answer does: what is there proves nothing. */
+    @ParameterizedTest
+    @CsvSource({"'HTTP/1.1 200', CUT_IN_FIRST_LINE", "'HTTP/1.1 200 OK\r', CUT_IN_FIRST_LINE", "'HTTP/1.1 503 No', CUT_IN_FIRST_LINE",
+        "'HTTP/1.1 410 Gone\r\n', CUT_IN_HEAD", "'HTTP/1.1 429 Slow\r\nRetry-A', CUT_IN_HEAD",
+        "'HTTP/1.1 504 No\r\nContent-Length: 0\r\n', CUT_IN_HEAD", "'HTTP/1.1 503 No\r\nContent-Length: 3\r\n\r\nno', CUT_IN_BODY",
+        "'HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n', CUT_IN_BODY",
+        "'HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0', CUT_IN_BODY", "'', MISSING"})
+    void anAnswerThatBreaksOffProvesNothing(String answer, AnswerFlaw flaw) throws Exception {
+        call(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            request(connection);
+            answer(connection, answer);
+            connection.shutdownOutput();
+            Call.Result result = result();
+            assertEquals(Ending.RESET, result.ending());
+            assertEquals(flaw, result.flaw());
+        }
+    }
+
     @Test
     void aCallThatIsWithheldBeforeItsConnectionIsUpNeverLeaves() throws Exception {
         endpoint.close();
