A notice without an answer is sent again at once on a new connection

Cause: one call with notices was out at a time, with 1 s before it was given up and 0.2 s of rest behind it, and the next one could take a kept connection again. A message is given up some milliseconds before its time, so one lost call made its final answer late.

Measured: SilentPlatformProcessTest passes (2,684 ms before); StageTest and DeskTest pass.

--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -16,7 +16,7 @@
         long longestRecord, long longestSleep, long selectEvery, long sweepEvery, long rememberFor,
         long rememberGone, int goneAtMost,
         long startWithin, long rehearse, long leaveWithin, long leaveLast, long lastWords, long closeWithin,
-        long slowTurn, long slowLineEvery, long noticeWithin) {
+        long slowTurn, long slowLineEvery, long noticeWithin, long noticeTimeout, long noticeRest) {
 
     /** Shares out a machine's memory, descriptors and disk, with the terms' bounds on calls and records. */
     public static Limits shareOut(int memoryMb, int sockets, double diskMb, int slots, int holdingRoom,
@@ -36,6 +36,6 @@
                 2_000_000, 700_000, 3, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
                 60_000_000, 1024, 10_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000,
-                100_000, 1_000_000, 300_000);
+                100_000, 1_000_000, 300_000, 150_000, 25_000);
     }
 }
--- a/src/main/java/terndyke/node/stage/Relay.java
+++ b/src/main/java/terndyke/node/stage/Relay.java
@@ -33,7 +33,7 @@
     private final Set<Owed> owing = new LinkedHashSet<>();
     private long round;
     private boolean out;
-    private boolean silent;
+    private int failures; // calls with notices, in a row
     private int together = Integer.MAX_VALUE; // notices in one call at most
     private Calls.Line line;
     private long restUntil;
@@ -140,17 +140,30 @@
         out = line != null;
         counters.add(Count.NOTICES_SENT, out ? batch.size() : 0);
         if (!out) {
-            unanswered("no socket", now);
+            unanswered("no socket", now, rest());
             return;
         }
-        timers.at(now + limits.unanswered(), () -> {
+        timers.at(now + timeout(), () -> {
             if (out && round == sent) {
                 calls.cancel(line);
-                unanswered("silence", desk.now());
+                unanswered("silence", desk.now(), 0);
             }
         });
     }
 
+    /**
+     * How long a call may take. A message is given up shortly before its time, so two calls are tried within what a client is
+     * owed behind it; later ones get longer, for a platform that is slow and a node that has many ends to tell.
+     */
+    private long timeout() {
+        return Math.min(limits.unanswered(), limits.noticeTimeout() << Math.min(10, Math.max(0, failures - 1)));
+    }
+
+    /** How long to wait after a call that failed at once, which silence has already cost. */
+    private long rest() {
+        return Math.min(limits.resend(), limits.noticeRest() << Math.min(10, failures));
+    }
+
     /** The first ones whose lines fit into so many bytes, one at least and so many at most. */
     static List<Owed> batch(Collection<Owed> owing, int most, int bytes, StringBuilder lines) {
         List<Owed> batch = new ArrayList<>();
@@ -175,19 +188,21 @@
             }
             calls.left(platform);
             platform = Calls.Peer.platform(address);
+            failures = 0;
             restUntil = 0;
         }
     }
 
-    private void unanswered(String why, long now) {
+    /** The next call goes on a connection of its own: a kept one that lost a call would lose the next one too. */
+    private void unanswered(String why, long now, long rest) {
         counters.add(Count.NOTICES_UNANSWERED);
-        if (!silent) {
-            silent = true;
+        if (failures++ == 0) {
             log.warn("notices unanswered: " + owing.size() + " owed, first " + owing.iterator().next().taken.id() + ", " + why);
         }
+        calls.dropIdle(platform);
         out = false;
         round++;
-        restUntil = now + limits.resend();
+        restUntil = now + rest;
         timers.at(restUntil, () -> { });
     }
 
@@ -219,8 +234,8 @@
         if (status == 204 || status == 200) {
             noticed.told().forEach(this::told);
             together = Integer.MAX_VALUE;
-            if (silent) {
-                silent = false;
+            if (failures > 0) {
+                failures = 0;
                 log.info("notices are answered again, " + owing.size() + " owed");
             }
         } else if (status == 400 && noticed.told().size() == 1) {
@@ -228,7 +243,7 @@
             noticed.told().forEach(this::told);
         } else {
             together = status == 400 ? Math.max(1, noticed.told().size() / 2) : together;
-            unanswered("status " + status, now);
+            unanswered("status " + status, now, rest());
         }
     }
 
