Failing test: a leaving node closes some connections without the answer it owes

Cause: the test failed once by a read that timed out, and was traced. The time-out: a connection that the listener accepts when nobody reads any more stays open in a test, where the process goes on; no request had been read on it. Beside it the trace showed requests that had been read and had no answer: the decision thread writes an answer with 'Connection: close' while the I/O thread still handles its request, which closes the connection under it (AsynchronousCloseException on the decision thread).

Change: the test demands that all that was read is answered, and passes over a time-out only once the node has closed. An id that held the digits of the time-out no longer differs between client and node.

--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -17,6 +17,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -37,6 +38,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
@@ -467,7 +469,12 @@
 
     /**
      * Clients go on sending on every connection, kept or new, until nobody listens any more. What was answered with 202 is
-     * delivered or ended by this life or the next; what was refused, or closed over unread, is never sent on.
+     * delivered or ended by this life or the next; what was refused, or closed over unread, is never sent on; what was read has
+     * its answer.
+     *
+     * <p>Seen: of some thousand requests that a leaving node read, one to twenty were closed without an answer. How: an answer
+     * that closes its connection was written on the decision thread while the I/O thread was still busy with its request; that
+     * one saw a finished exchange and closed the connection before the bytes had left. A trace of both threads proved it.
      */
     @Test
     void whoeverSendsUntilTheNodeHasEndedIsAnsweredOrLeftUnread() throws Exception {
@@ -475,6 +482,7 @@
         Set<String> taken = ConcurrentHashMap.newKeySet();
         Set<String> other = ConcurrentHashMap.newKeySet();
         AtomicInteger refused = new AtomicInteger();
+        AtomicBoolean closed = new AtomicBoolean();
         List<Future<?>> clients = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             String who = "c" + i + "-";
@@ -487,7 +495,7 @@
                         while (first != null) {
                             String id = who + ++number;
                             other.add(id);
-                            String request = head(id, "Content-Length: 0").replace("4000", "60000"); // the next life has time for all
+                            String request = head(id, "Content-Length: 0").replace("Ms: 4000", "Ms: 60000"); // the next life has time for all
                             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
                             first = in.readLine();
                             if (first != null && first.contains(" 202 ")) {
@@ -505,6 +513,9 @@
                         return null; // it has ended
                     } catch (SocketException e) {
                         number++; // closed over a request that was not read
+                    } catch (SocketTimeoutException e) {
+                        // accepted when nobody reads any more: the end of a process closes it, this one goes on
+                        assertTrue(closed.get(), "a node that has not ended left " + who + number + " without an answer");
                     }
                 }
                 return null;
@@ -512,10 +523,12 @@
         }
         until(() -> taken.size() > 40);
         node.close();
+        closed.set(true);
         for (Future<?> client : clients) {
             client.get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
         }
         assertTrue(refused.get() > 0);
+        assertEquals(node.counters().of(Count.REQUESTS_IN), taken.size() + refused.get(), "read and not answered");
         serve(3);
         Set<String> delivered = new HashSet<>();
         Set<String> owed = new HashSet<>(taken); // until it is delivered, or ended by a notice where more came than goes out
