Answers to clients are written on the I/O thread alone, so none is lost by its own close

Cause: Door.send wrote on the decision thread while the I/O thread could still be inside the same request. Where the answer says 'Connection: close' (a node that leaves, a crowd, a client that asks for it) the I/O thread then found the exchange finished and closed the connection before the bytes had left. Traced: read, send 503, failed and AsynchronousCloseException within 0.2 ms. The end of an exchange also ran Visits.answered on the decision thread, which changed the I/O thread's own tables.

Change: an answer of another thread waits in its connection's queue and is written when the I/O thread turns to the connection.

--- a/src/main/java/terndyke/node/http/Door.java
+++ b/src/main/java/terndyke/node/http/Door.java
@@ -262,6 +262,10 @@
             }
             text = content == null ? null : ByteBuffer.wrap(content.getBytes(StandardCharsets.UTF_8));
             response.addHeader("Content-Length", text == null ? 0 : text.remaining());
+            visit.answer(() -> write(response));
+        }
+
+        private void write(BasicHttpResponse response) {
             try {
                 channel.sendResponse(response, text == null ? null
                         : new BasicEntityDetails(text.remaining(), null), context);
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -200,6 +200,15 @@
             }
         }
 
+        /** Once more where an answer came meanwhile: the library may have taken back the wish to write just then. */
+        @Override
+        public void outputReady(IOSession session) throws IOException {
+            do {
+                visit.writeAnswers();
+                super.outputReady(session);
+            } while (visit.hasAnswers());
+        }
+
         @Override
         public void timeout(IOSession session, Timeout timeout) {
             visit.close();
--- a/src/main/java/terndyke/node/http/Visits.java
+++ b/src/main/java/terndyke/node/http/Visits.java
@@ -1,7 +1,10 @@
 package terndyke.node.http;
 
+import java.nio.channels.SelectionKey;
 import java.util.LinkedHashSet;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.LongSupplier;
 
 import org.apache.hc.core5.io.CloseMode;
@@ -68,6 +71,8 @@
     /** One client's connection. */
     final class Visit {
         private final IOSession session;
+        private final Thread owner = Thread.currentThread();
+        private final Queue<Runnable> answers = new ConcurrentLinkedQueue<>();
         private final long came = clock.getAsLong();
         private long since; // resting, or reading the request that comes in
         private boolean reading;
@@ -99,6 +104,32 @@
             }
         }
 
+        /**
+         * Writes an answer on the thread that owns the connection, from whichever thread it comes. Written on another one, an
+         * answer that closes its connection is lost where the owner is still busy with the request: it sees the exchange
+         * finished and closes the connection before the bytes have left.
+         */
+        void answer(Runnable write) {
+            if (Thread.currentThread() == owner) {
+                write.run();
+            } else {
+                answers.add(write);
+                session.setEvent(SelectionKey.OP_WRITE);
+            }
+        }
+
+        /** Answers of other threads wait to be written. */
+        boolean hasAnswers() {
+            return !answers.isEmpty();
+        }
+
+        /** Writes the answers of other threads. */
+        void writeAnswers() {
+            for (Runnable write = answers.poll(); write != null; write = answers.poll()) {
+                write.run();
+            }
+        }
+
         /** A request is whole. */
         void whole() {
             reading = false;
