Only answers that close their connection go to the I/O thread; others count there

Change: an answer that keeps its connection is written by the decision thread as before; which one closes is decided by the library's own rule. That such an answer is over is counted on the I/O thread, whose tables it changes: by then it was done on the decision thread.

--- a/src/main/java/terndyke/node/http/Door.java
+++ b/src/main/java/terndyke/node/http/Door.java
@@ -15,6 +15,7 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
+import org.apache.hc.core5.http.impl.DefaultConnectionReuseStrategy;
 import org.apache.hc.core5.http.message.BasicHttpResponse;
 import org.apache.hc.core5.http.nio.AsyncServerExchangeHandler;
 import org.apache.hc.core5.http.nio.CapacityChannel;
@@ -262,7 +263,11 @@
             }
             text = content == null ? null : ByteBuffer.wrap(content.getBytes(StandardCharsets.UTF_8));
             response.addHeader("Content-Length", text == null ? 0 : text.remaining());
-            visit.answer(() -> write(response));
+            if (DefaultConnectionReuseStrategy.INSTANCE.keepAlive(request, response, context)) {
+                write(response);
+            } else {
+                visit.answerAndClose(() -> write(response));
+            }
         }
 
         private void write(BasicHttpResponse response) {
--- a/src/main/java/terndyke/node/http/Visits.java
+++ b/src/main/java/terndyke/node/http/Visits.java
@@ -15,7 +15,7 @@
 
 /**
  * The clients' connections: how many there may be, and how long each may stand idle, say nothing or be in the midst
- * of a request. On the I/O thread alone. Guards against clients that keep their connection for good, connect and say
+ * of a request. On the I/O thread alone, but for the answers that other threads give. Guards against clients that keep their connection for good, connect and say
  * nothing, or send half a request; covers slow senders and leaked connections too. It costs usual clients who pause
  * for longer than that a new connection.
  */
@@ -23,6 +23,7 @@
     private final Limits limits;
     private final LongSupplier clock;
     private final Set<Visit> quiet = new LinkedHashSet<>(); // without an open request, longest first
+    private final Queue<Visit> answeredElsewhere = new ConcurrentLinkedQueue<>(); // by other threads, not yet counted
     private int open;
 
     Visits(Limits limits, LongSupplier clock) {
@@ -32,6 +33,7 @@
 
     /** Lets a client in, in the place of one that stands idle where all are taken; null where there is no place. */
     Visit come(IOSession session) {
+        countAnsweredElsewhere();
         int most = limits.clientConnections() + limits.spareConnections();
         if (open >= limits.clientConnections()) {
             makeRoom(limits.silentAtLeast());
@@ -53,6 +55,12 @@
         return open > limits.clientConnections();
     }
 
+    private void countAnsweredElsewhere() {
+        for (Visit visit = answeredElsewhere.poll(); visit != null; visit = answeredElsewhere.poll()) {
+            visit.countAnswered();
+        }
+    }
+
     private void makeRoom(long silentAtLeast) {
         long now = clock.getAsLong();
         Visit first = null;
@@ -92,6 +100,7 @@
 
         /** Bytes have come in. The request that they belong to has to be whole in time, however it trickles. */
         void input() {
+            countAnsweredElsewhere();
             long now = clock.getAsLong();
             quiet.remove(this);
             since = reading ? since : now;
@@ -105,11 +114,11 @@
         }
 
         /**
-         * Writes an answer on the thread that owns the connection, from whichever thread it comes. Written on another one, an
-         * answer that closes its connection is lost where the owner is still busy with the request: it sees the exchange
-         * finished and closes the connection before the bytes have left.
+         * Writes an answer that closes its connection, on the thread that owns it. Written on another one, it is lost where the
+         * owner is still busy with the request: that one sees the exchange finished and closes the connection before the bytes
+         * have left. An answer that keeps the connection may come from any thread, which saves a change of threads.
          */
-        void answer(Runnable write) {
+        void answerAndClose(Runnable write) {
             if (Thread.currentThread() == owner) {
                 write.run();
             } else {
@@ -143,8 +152,17 @@
             return unanswered > limits.requestsWaiting();
         }
 
-        /** A request has its answer. Usual clients send the next one only then, so nothing is half read. */
+        /** A request has its answer; from any thread, and counted on the one that owns the connections. */
         void answered() {
+            if (Thread.currentThread() == owner) {
+                countAnswered();
+            } else {
+                answeredElsewhere.add(this);
+            }
+        }
+
+        /** Usual clients send the next request only when the last one has its answer, so nothing is half read. */
+        private void countAnswered() {
             unanswered = Math.max(0, unanswered - 1);
             if (unanswered == 0 && !gone) {
                 reading = false;
--- a/src/test/java/terndyke/node/http/VisitsTest.java
+++ b/src/test/java/terndyke/node/http/VisitsTest.java
@@ -7,8 +7,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.Proxy;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -148,4 +150,36 @@
         assertNotNull(visits.come(session()));
         assertNull(visits.come(session()));
     }
+
+    private static void elsewhere(Runnable work) throws InterruptedException {
+        Thread other = new Thread(work);
+        other.start();
+        other.join();
+    }
+
+    @Test
+    void anAnswerThatClosesIsWrittenByTheThreadThatOwnsTheConnection() throws InterruptedException {
+        Visits.Visit visit = visits.come(session());
+        List<Thread> writers = new ArrayList<>();
+        elsewhere(() -> visit.answerAndClose(() -> writers.add(Thread.currentThread())));
+        assertEquals(List.of(), writers);
+        assertTrue(visit.hasAnswers());
+        visit.writeAnswers();
+        visit.answerAndClose(() -> writers.add(Thread.currentThread()));
+        assertEquals(List.of(Thread.currentThread(), Thread.currentThread()), writers);
+        assertFalse(visit.hasAnswers());
+    }
+
+    @Test
+    void anAnswerOfAnotherThreadIsCountedByTheThreadThatOwnsTheConnections() throws InterruptedException {
+        IOSession client = session();
+        Visits.Visit visit = visits.come(client);
+        visit.input();
+        visit.whole();
+        long whole = timeouts.get(client);
+        elsewhere(visit::answered);
+        assertEquals(whole, timeouts.get(client), "nothing of the connection changes on another thread");
+        visits.come(session());
+        assertEquals(limits.clientIdle(), timeouts.get(client));
+    }
 }
