--- a/src/main/java/terndyke/node/http/Visits.java
+++ b/src/main/java/terndyke/node/http/Visits.java
@@ -15,9 +15,9 @@
 
 /**
  * The clients' connections: how many there may be, and how long each may stand idle, say nothing or be in the midst
- * of a request. On the I/O thread alone, but for the answers that other threads give. Guards against clients that keep their connection for good, connect and say
- * nothing, or send half a request; covers slow senders and leaked connections too. It costs usual clients who pause
- * for longer than that a new connection.
+ * of a request. On the I/O thread alone, but for the answers that other threads give. Guards against clients that keep
+ * their connection for good, connect and say nothing, or send half a request; covers slow senders and leaked connections
+ * too. It costs usual clients who pause for longer than that a new connection.
  */
 final class Visits {
     private final Limits limits;
--- a/src/test/java/terndyke/RawServer.java
+++ b/src/test/java/terndyke/RawServer.java
@@ -2,8 +2,8 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -86,7 +86,7 @@
                 connection.getOutputStream().write(answer.bytes().getBytes(StandardCharsets.ISO_8859_1));
                 if (answer.endsConnection()) {
                     connection.shutdownOutput();
-                    in.transferTo(java.io.OutputStream.nullOutputStream()); // to its end: no reset destroys the answer
+                    in.transferTo(OutputStream.nullOutputStream()); // to its end: no reset destroys the answer
                     return;
                 }
             }
