The decision module is told the time of its events, not of the turn's start

A supply-order message was called 44 ms after an attempt of the message before it had ended with no proof that it runs no more; the key has to rest 100 ms.

Cause: DecisionLoop.runTurn read the clock once, then handled events and closed the connections of calls given up, and ran the module with the time read before. Quiet periods and requested waits began too early by as long as the node was busy or held up in between.

Evidence: with a node whose log is held up for 150 ms between the end of a message and the close of its call, the next call of the key left 8, 12 and 11 ms after the close (3 of 3 runs).

Why this works: the clock is read for each run of the module, after all that it is told of has happened. Events with a time left or an age are made for that time, so deadlines stay where they were. Calls are still held back by a Retry-After that came after the events of the turn were taken in: that time is handed to the pool apart.

KeyQuietPeriodTest failed before (3 of 3) and passes (3 of 3).

--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -229,17 +229,24 @@
         }
     }
 
+    /** Starts a call that was decided on with knowledge of everything received by now. */
+    public PooledConnection startCall(Peer peer, Call call, long now, Call.ResultListener resultListener) {
+        return startCall(peer, call, now, now, resultListener);
+    }
+
     /**
      * Starts a call, whose listener is called once with its result. Returns the connection, for {@link #cancelCall}, or null
-     * if the maximum of connections is open and there is no idle one to close for it.
+     * if the maximum of connections is open and there is no idle one to close for it. The call is not sent if its
+     * destination has sent a Retry-After later than the time up to which received input was known to its caller.
      */
-    public PooledConnection startCall(Peer peer, Call call, long now, Call.ResultListener resultListener) {
+    public PooledConnection startCall(Peer peer, Call call, long now, long inputKnownUntil,
+            Call.ResultListener resultListener) {
         Deque<PooledConnection> idle = idleConnections.getOrDefault(peer, new ArrayDeque<>(0));
         for (PooledConnection connection = takeIdleConnection(idle, now); connection != null;
                 connection = takeIdleConnection(idle, now)) {
             if (connection.isUsable() && now - connection.idleSince < limits.idleConnectionTimeoutMicros()) {
                 connection.firstCall = false; // ordered before the write of the volatile exchange below
-                connection.exchange = new Exchange(connection, call, now, resultListener);
+                connection.exchange = new Exchange(connection, call, inputKnownUntil, resultListener);
                 connection.session.enqueue(connection.exchange.createCommand(), Command.Priority.NORMAL);
                 busyConnections.add(connection);
                 return connection;
@@ -250,7 +257,7 @@
             return null;
         }
         PooledConnection connection = new PooledConnection(peer);
-        connection.exchange = new Exchange(connection, call, now, resultListener);
+        connection.exchange = new Exchange(connection, call, inputKnownUntil, resultListener);
         busyConnections.add(connection);
         openCount++;
         counters.add(Counter.CONNECTIONS_OPENED);
@@ -405,7 +412,7 @@
         private ByteBuffer responseBody;
         private volatile boolean requestStarted;
         private volatile boolean withheld;
-        private final long decidedAt;
+        private final long inputKnownUntil;
         private boolean deferredOnce; // one pass over all connections has been made since the call was queued
         private volatile boolean resultDelivered;
         private volatile boolean completed;
@@ -415,8 +422,8 @@
         private long responseDeadline; // by when the response has to be complete, on System.nanoTime(), in microseconds
         private ResponseDefect defect = ResponseDefect.NONE;
 
-        Exchange(PooledConnection pooledConnection, Call call, long decidedAt, Call.ResultListener resultListener) {
-            this.decidedAt = decidedAt;
+        Exchange(PooledConnection pooledConnection, Call call, long inputKnownUntil, Call.ResultListener resultListener) {
+            this.inputKnownUntil = inputKnownUntil;
             this.pooledConnection = pooledConnection;
             this.call = call;
             this.resultListener = resultListener;
@@ -502,7 +509,7 @@
         @Override
         public void produceRequest(RequestChannel channel, HttpContext context)
                 throws HttpException, IOException {
-            if (withheld || pooledConnection.peer.retryAfterReceivedAt.get() > decidedAt
+            if (withheld || pooledConnection.peer.retryAfterReceivedAt.get() > inputKnownUntil
                     || clock.getAsLong() >= call.startDeadline()) {
                 deliverResult(Call.Result.withoutResponse(Ending.NOT_SENT)); // the connection, or this thread, was too late
                 throw new IOException("request not sent: withheld, or past its start deadline");
--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -59,6 +59,7 @@
     private final int gradeCount;
     private long nextSweepAt;
     private long shutdownDeadline = Long.MAX_VALUE;
+    private long eventsHandledUntil; // what was received by this time has been handled before the current decisions
     private final CountDownLatch discoveryResolved = new CountDownLatch(1); // the first call to discovery has completed or failed
     private final CountDownLatch firstTurnDone = new CountDownLatch(1); // the decision module has run once after that
     private volatile boolean finished; // set by the decision thread: no more turns
@@ -100,6 +101,11 @@
         return clock.now();
     }
 
+    /** The decisions being carried out were made with knowledge of all that was received up to this time. */
+    long eventsHandledUntil() {
+        return eventsHandledUntil;
+    }
+
     /**
      * Queues a client's request; called on the I/O thread. Returns false if the queue is full or the loop has ended. A
      * request that arrives while the loop is ending is either handled by its final drain of the queue or removed here, so
@@ -163,7 +169,7 @@
         if (isDiscoveryResolved() || !watch.hasCompletedFirstCall()) {
             return;
         }
-        restoredRecords.forEach(record -> sendStage.restore(record, now));
+        restoredRecords.forEach(sendStage::restore);
         restoredRecords.clear();
         deferredRequests.forEach(request -> handleClientRequest(request, now));
         deferredRequests.clear();
@@ -223,6 +229,7 @@
         LoopEvent event = eventQueue.poll(decisionStage.hasPendingEvents() && isDiscoveryResolved() ? 0
                 : Math.max(0, wakeUpAt - now), TimeUnit.MICROSECONDS);
         now = now();
+        eventsHandledUntil = now;
         slowTurnDetector.beginTurn(now);
         int eventCount = 0;
         while (event != null) {
@@ -238,7 +245,7 @@
         }
         beginOnceDiscoveryResolved(now);
         if (isDiscoveryResolved()) {
-            performActions(now);
+            performActions();
             firstTurnDone.countDown();
         } else {
             notificationStage.sendPendingNotices(now);
@@ -322,7 +329,7 @@
         } else if (admissionStage.admit(request, now)) {
             TrackedRecord record = intakeStage.createRecord(request);
             newRecords.put(record.entry.number(), record);
-            decisionStage.addEvent(toEvent(record, now));
+            decisionStage.addEvent(turnTime -> toEvent(record, turnTime));
         }
     }
 
@@ -357,9 +364,14 @@
         return discoveryResolved.getCount() == 0;
     }
 
-    /** Runs the decision module until it has no pending events, and performs the actions that it asks for. */
-    private void performActions(long now) {
+    /**
+     * Runs the decision module until it has no pending events, and performs the actions that it asks for. The time of each
+     * run is read after its events have happened. With the time of the turn's start, which may be long before, the quiet
+     * period of a key and a requested wait would end too early.
+     */
+    private void performActions() {
         while (decisionStage.hasPendingEvents()) {
+            long now = now();
             List<Action> actions = decisionStage.runTurn(now);
             slowTurnDetector.endPhase(Phase.MODULE, now());
             answerNewRecords(actions);
@@ -368,7 +380,7 @@
             }
             slowTurnDetector.endPhase(Phase.ACTIONS, now());
         }
-        notificationStage.sendPendingNotices(now);
+        notificationStage.sendPendingNotices(now());
     }
 
     /** Answers the records admitted in this turn: refused if the module ended them, otherwise journalled and then accepted. */
--- a/src/main/java/terndyke/node/stage/SendStage.java
+++ b/src/main/java/terndyke/node/stage/SendStage.java
@@ -76,7 +76,7 @@
         counters.add(Counter.SHOTS);
         long openedBefore = log.isTracing() ? counters.get(Counter.CONNECTIONS_OPENED) : 0;
         shot.connection = connectionPool.startCall(endpoint.peer(),
-                buildCall(record, endpoint.peer(), deadline - now, action.startBy()), now,
+                buildCall(record, endpoint.peer(), deadline - now, action.startBy()), now, decisionLoop.eventsHandledUntil(),
                 result -> decisionLoop.post(new LoopEvent.ShotCompleted(record, shot, endpointNumber, result,
                         decisionLoop.now())));
         if (shot.connection == null) {
@@ -224,7 +224,7 @@
         Call call = new Call("GET", "/ping", new String[] {"Host", endpoint.peer().hostHeader()}, EMPTY_BODY);
         PendingProbe probe = new PendingProbe(endpoint, now);
         probe.connection = probesInFlight >= limits.maxConcurrentProbes() ? null
-                : connectionPool.startCall(endpoint.peer(), call, now,
+                : connectionPool.startCall(endpoint.peer(), call, now, decisionLoop.eventsHandledUntil(),
                 result -> decisionLoop.post(new LoopEvent.ProbeCompleted(probe, result, decisionLoop.now())));
         if (probe.connection == null) {
             decisionStage.addEvent(new Event.ProbeEnded(endpointNumber, Ending.NOT_SENT, 0, NO_REPORT));
@@ -275,17 +275,22 @@
      * Reports a record of the previous run and its shots to the decision module, unless it has ended, its notice is
      * settled and the outcome of every shot is known.
      */
-    void restore(TrackedRecord record, long now) {
+    void restore(TrackedRecord record) {
+        boolean outcomeUnknown = record.shots.stream().anyMatch(shot -> shot.ending == null);
+        if (record.isOpen() || !record.noticeSettled || outcomeUnknown) {
+            decisionStage.addEvent(turnTime -> new Event.RecordRestored(DecisionLoop.toEvent(record, turnTime),
+                    describeEarlierShots(record, turnTime), !record.isOpen()));
+        }
+    }
+
+    private List<Event.EarlierShot> describeEarlierShots(TrackedRecord record, long now) {
         List<Event.EarlierShot> earlierShots = new ArrayList<>();
         for (TrackedRecord.Shot shot : record.shots) {
             EndpointRegistry.Endpoint endpoint = endpointRegistry.findEndpoint(shot.endpointUid);
             earlierShots.add(new Event.EarlierShot(endpoint == null ? -1 : endpoint.number(), shot.zone,
                     Math.max(0, now - shot.firedAt), shot.ending));
         }
-        boolean outcomeUnknown = record.shots.stream().anyMatch(shot -> shot.ending == null);
-        if (record.isOpen() || !record.noticeSettled || outcomeUnknown) {
-            decisionStage.addEvent(new Event.RecordRestored(DecisionLoop.toEvent(record, now), earlierShots, !record.isOpen()));
-        }
+        return earlierShots;
     }
 
     /** Cancels the calls to an endpoint of which nothing has been sent yet. */
