A call that is given up ends at its endpoint at once, also while the I/O thread is busy

A key has to rest after a call that may still run, and an endpoint sees the call as open for as long as its connection is.

Cause: cancelCall closes the connection on the decision thread, but a channel that is registered with a selector, with a reset asked for, is only closed by the system when the I/O thread selects again; until then nothing is sent to the endpoint. Calls that failed on the I/O thread (a stalled answer, for example) were reported before their connection was closed.

Why this works: ending the output is done by a system call in the calling thread, and by the protocol it gives the call up. The module is told after it. The close follows as before.

--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -305,10 +306,27 @@
      * this thread cannot know: the last byte may be being written at this very moment.
      */
     public boolean cancelCall(PooledConnection connection) {
+        if (connection.session != null) {
+            endOutput(connection.session);
+        }
         discard(connection);
         return connection.session == null;
     }
 
+    /**
+     * Ends the sending on a connection, which cancels its call for the endpoint at once. A close alone takes effect only when
+     * the I/O thread, which may be busy, selects again.
+     */
+    private static void endOutput(IOSession session) {
+        try {
+            if (session.channel() instanceof SocketChannel channel) {
+                channel.shutdownOutput();
+            }
+        } catch (IOException e) {
+            // closed already
+        }
+    }
+
     /** Takes back a connection whose call has ended: keeps it for the next call if it is reusable, else closes it. */
     public void release(PooledConnection connection, long now) {
         busyConnections.remove(connection);
@@ -626,13 +644,15 @@
 
         @Override
         public void failed(Exception cause) {
-            deliverResult(isDone() ? new Call.Result(status, null, 0, false, null, null)
+            Call.Result result = isDone() ? new Call.Result(status, null, 0, false, null, null)
                     : Call.Result.withoutResponse(pooledConnection.isRequestWritten() ? Ending.RESET : Ending.NOT_CONNECTED,
-                            effectiveRetryAfterMicros(), classifyDefect(cause)));
+                            effectiveRetryAfterMicros(), classifyDefect(cause));
             IOSession session = pooledConnection.session;
             if (session != null) {
+                endOutput(session);
                 session.close(CloseMode.IMMEDIATE);
             }
+            deliverResult(result);
             complete();
         }
 
--- a/src/test/java/terndyke/node/http/ConnectionPoolTest.java
+++ b/src/test/java/terndyke/node/http/ConnectionPoolTest.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -195,6 +196,58 @@
         assertEquals(Ending.RESET, awaitResult().ending());
     }
 
+    /** Guards against a cancelled call that its endpoint still sees as open for as long as the I/O thread is busy. */
+    @Test
+    void aCancelledCallEndsAtItsEndpointWhileTheIoThreadIsBusy() throws Exception {
+        ConnectionPool.PooledConnection pooledConnection = startCall(BODY, 0);
+        CountDownLatch ioThreadBusy = new CountDownLatch(1);
+        CountDownLatch connectionEnded = new CountDownLatch(1);
+        try (Socket cancelled = endpoint.accept()) {
+            readRequest(cancelled);
+            connectionPool.startCall(peer, new Call("POST", "/events", new String[] {"Content-Length", "7"}, BODY), 0, result -> {
+                ioThreadBusy.countDown();
+                awaitLatch(connectionEnded);
+            });
+            try (Socket other = endpoint.accept()) {
+                readRequest(other);
+                sendResponse(other, OK_RESPONSE);
+                assertTrue(ioThreadBusy.await(30, TimeUnit.SECONDS));
+                connectionPool.cancelCall(pooledConnection);
+                cancelled.setSoTimeout(5_000);
+                assertTrue(isClosed(cancelled));
+            } finally {
+                connectionEnded.countDown();
+            }
+        }
+    }
+
+    /** Guards against a call that is reported as ended while its endpoint still sees it as open. */
+    @Test
+    void aCallWhoseResponseStallsEndsAtItsEndpointBeforeItsResultIsReported() throws Exception {
+        CountDownLatch connectionEnded = new CountDownLatch(1);
+        connectionPool.startCall(peer, new Call("POST", "/events", new String[] {"Content-Length", "7"}, BODY), 0, result -> {
+            awaitLatch(connectionEnded);
+            results.add(result);
+        });
+        try (Socket connection = endpoint.accept()) {
+            readRequest(connection);
+            sendResponse(connection, "HTTP/1.1 20");
+            connection.setSoTimeout(5_000);
+            assertTrue(isClosed(connection));
+        } finally {
+            connectionEnded.countDown();
+        }
+        assertEquals(Ending.RESET, awaitResult().ending());
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await(30, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void cancellingACallClosesItsConnection() throws Exception {
         ConnectionPool.PooledConnection pooledConnection = startCall(BODY, 0);
