A message delivered after its time by its client's count gets a final answer too

Cause: a message's time counts from when its client sent it, and the node counts it from when it read it. On a busy machine it reads late. An answer that an endpoint writes after the message's time was then taken for a delivery in time: the node owed nothing more, while the platform, for which the time was over, waited for a final answer.

A lost read event was excluded: with calls kept open past that end on a quiet machine, the long answers come 20 to 304 ms after it, spread evenly.

Why this works: a client waits 400 ms for the answer to its request, so a message is read at most 400 ms late. A delivery within the last 400 ms is reported by a notice too (dead), which by the protocol does no harm to a message that is over. The module ends such a record, and never bounces or repeats it, also over a restart; a repeat by the client is answered as delivered.

--- a/src/main/java/terndyke/api/Event.java
+++ b/src/main/java/terndyke/api/Event.java
@@ -18,7 +18,10 @@
     record RecordAccepted(long id, int grade, int tenant, long key, long remainingTime, long workHint, int destination,
             boolean clientRetry, boolean write, boolean fromDeadNode) implements Event { }
 
-    /** A shot ended. retryAfter is 0 if none was sent; recordEnded is true if the record has ended with it. */
+    /**
+     * A shot ended. retryAfter is 0 if none was sent; recordEnded is true if the record has ended with it. A shot that is
+     * done without that was answered so late that the record's time may be over for its client, who is owed a final answer.
+     */
     record ShotEnded(long id, int shotIndex, long endpoint, Ending ending, long elapsed, long retryAfter, boolean noFreeSlot,
             boolean recordEnded, float[] loadReport) implements Event { }
 
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -163,6 +163,8 @@
         if (restored.ended()) {
             awaitAnswerDelivery(record);
             endRecord(record);
+        } else if (record.isDone()) {
+            bounceOrTerminate(record);
         }
     }
 
@@ -236,7 +238,8 @@
             recordsById.remove(record.id, record.inFlightShotCount == 0 ? record : null);
         } else if (ended.recordEnded()) {
             endRecord(record);
-        } else if (now >= record.abandonAt - settings.turnInterval() || record.isUndeliverable(now, settings)) {
+        } else if (record.isDone() || now >= record.abandonAt - settings.turnInterval()
+                || record.isUndeliverable(now, settings)) {
             bounceOrTerminate(record);
         } else if (record.inFlightShotCount == 0) {
             enqueue(record, now + (shot.ending.provesNotRun() ? 0 : RETRY_BACKOFF_MICROS << Math.min(4, ended.shotIndex())));
--- a/src/main/java/terndyke/decision/PendingRecord.java
+++ b/src/main/java/terndyke/decision/PendingRecord.java
@@ -54,10 +54,18 @@
         return deadline;
     }
 
-    /** Rule 2: true if the record may be bounced, which promises the client that another try is harmless. */
+    /** True if a shot was done, possibly too late for the client. */
+    boolean isDone() {
+        return shots.stream().anyMatch(shot -> shot.ending == Ending.DONE);
+    }
+
+    /**
+     * Rule 2: true if the record may be bounced, which promises the client that another try is harmless. A record that is
+     * done is not bounced even if it may be repeated: the other try would be in vain.
+     */
     boolean canBounce() {
-        return grade.repeatSemantics() == RepeatSemantics.IDEMPOTENT || shots.stream().noneMatch(Shot::mayHaveRun)
-                || grade.repeatSemantics() == RepeatSemantics.DEDUPLICATED && grade.anyEndpointDeduplicates();
+        return !isDone() && (grade.repeatSemantics() == RepeatSemantics.IDEMPOTENT || shots.stream().noneMatch(Shot::mayHaveRun)
+                || grade.repeatSemantics() == RepeatSemantics.DEDUPLICATED && grade.anyEndpointDeduplicates());
     }
 
     /** True if no shot is out and no other may be sent. */
--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -13,6 +13,8 @@
         REPEATS, WITHDRAWN, RESTORED, SHOTS, CONNECTIONS_OPENED, DONE, ERROR, FULL, TIMED_OUT, NOT_CONNECTED, RESET, RECALLED,
         NOT_SENT, CROWDED, PROBES, ENDED_DONE, ENDED_BOUNCED, ENDED_TERMINATED, NOTICES_SENT, NOTICES_ANSWERED, LISTS_TOLD,
         JOURNAL_ENTRIES, JOURNAL_COMPACTIONS, JOURNAL_REFUSALS, SLOW_TURNS,
+        /** Deliveries at a time at which the client's time may have been over, so that a notice follows. */
+        DONE_LATE,
         /** Incomplete or unreadable answers to any of the node's own calls, by kind of defect. */
         ANSWERS_MISSING, ANSWERS_CUT, ANSWERS_UNREADABLE, ANSWERS_STALLED,
         /** Calls with notices that failed or were not answered in time, and notices answered only after their deadline. */
--- a/src/main/java/terndyke/node/stage/AdmissionStage.java
+++ b/src/main/java/terndyke/node/stage/AdmissionStage.java
@@ -1,5 +1,6 @@
 package terndyke.node.stage;
 
+import terndyke.api.Ending;
 import terndyke.node.Counters;
 import terndyke.node.Counters.Counter;
 import terndyke.node.Limits;
@@ -73,6 +74,8 @@
     private static void answerDuplicate(TrackedRecord knownRecord, ClientRequest.Responder responder) {
         if (knownRecord.outcome == null) {
             responder.taken();
+        } else if (knownRecord.shots.stream().anyMatch(shot -> shot.ending == Ending.DONE)) {
+            responder.delivered();
         } else {
             switch (knownRecord.outcome) {
                 case DONE -> responder.delivered();
--- a/src/main/java/terndyke/node/stage/SendStage.java
+++ b/src/main/java/terndyke/node/stage/SendStage.java
@@ -149,19 +149,28 @@
             log.trace(completedAt, "over", record.entry.number(), shot.number, shot.endpointUid, record.entry.destination(),
                     ending, completedAt - shot.firedAt, retryAfterMicros);
         }
-        boolean wasEnded = record.outcome != null;
-        if (ending == Ending.DONE && !wasEnded) {
+        boolean delivered = ending == Ending.DONE && record.isOpen();
+        if (delivered && isCertainlyInTime(record, completedAt)) {
             shot.ending = ending;
             shot.connection = null;
             recordStore.endRecord(record, JournalEntry.RecordOutcome.DONE, 0);
             counters.add(Counter.ENDED_DONE);
         } else {
+            counters.add(Counter.DONE_LATE, delivered ? 1 : 0);
             recordStore.endShot(record, shot, ending);
         }
         decisionStage.addEvent(new Event.ShotEnded(record.entry.number(), shot.number, endpointNumber, ending, Math.max(0,
                 completedAt - shot.firedAt), retryAfterMicros, noFreeSlot, record.outcome != null, report));
     }
 
+    /**
+     * False if the record's time may be over for its client. The time counts from when the client sent the record, and the
+     * node knows only when it received it. That is later by no more than the client waits for the answer to its request.
+     */
+    private boolean isCertainlyInTime(TrackedRecord record, long completedAt) {
+        return completedAt < record.entry.abandonAt() - limits.clientResponseTimeoutMicros();
+    }
+
     private static String describeShot(TrackedRecord record, TrackedRecord.Shot shot, Ending ending, long completedAt) {
         return "attempt " + shot.number + " of " + record.entry.id() + " at " + shot.endpointUid + ": " + ending + " after "
                 + (completedAt - shot.firedAt) / 1000 + " ms";
--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -96,7 +96,20 @@
     }
 
     void sendHangup() throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        sendSignal("HUP");
+    }
+
+    /** Stops the process, as if it got no processor time, until {@link #resume}. */
+    void pause() throws IOException, InterruptedException {
+        sendSignal("STOP");
+    }
+
+    void resume() throws IOException, InterruptedException {
+        sendSignal("CONT");
+    }
+
+    private void sendSignal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
     }
 
     void assertCleanExit() throws InterruptedException {
--- a/src/test/java/terndyke/decision/DispatcherTest.java
+++ b/src/test/java/terndyke/decision/DispatcherTest.java
@@ -90,6 +90,20 @@
         assertEquals(1, actionsOfType(SendShot.class, actions).size());
     }
 
+    /** Guards against a message without a final answer: its time may be over for the client though it was delivered. */
+    @Test
+    void aRecordThatIsDoneTooLateIsTerminatedAtOnce() {
+        for (int grade : List.of(DispatcherFixture.IDEMPOTENT, DispatcherFixture.UNREPEATABLE)) {
+            Dispatcher dispatcher = dispatcher(settings(true, true, 100), 0);
+            dispatcher.handleEvents(START_MICROS, List.of(recordAccepted(1, grade)));
+            List<Action> actions = new ArrayList<>(dispatcher.handleEvents(START_MICROS + 9_700_000, List.of(
+                    new Event.ShotEnded(1, 0, 11, Ending.DONE, 9_700_000, 0, false, false, DispatcherFixture.NO_LOAD_REPORT))));
+            actions.addAll(expireTimersUntil(dispatcher, START_MICROS + 9_710_000, START_MICROS + 10_100_000));
+            assertEquals(List.of(new Terminate(1)), actionsOfType(Terminate.class, actions));
+            assertEquals(0, actionsOfType(Bounce.class, actions).size() + actionsOfType(SendShot.class, actions).size());
+        }
+    }
+
     @Test
     void aDeduplicatedRecordThatMayHaveRunStaysInItsZone() {
         Dispatcher dispatcher = dispatcher(settings(true, true, 100), 0);
--- a/src/test/java/terndyke/decision/RestartTest.java
+++ b/src/test/java/terndyke/decision/RestartTest.java
@@ -77,6 +77,14 @@
         assertEquals(0, actionsOfType(SendShot.class, actions).size() + actionsOfType(Bounce.class, actions).size());
     }
 
+    @Test
+    void aRecordThatWasDoneTooLateIsTerminatedAndNeverRepeated() {
+        List<Action> actions = dispatcher(settings(true, true, 100), 0).handleEvents(START_MICROS,
+                List.of(restoredRecord(1, DispatcherFixture.IDEMPOTENT, 900_000, Ending.DONE, false)));
+        assertEquals(List.of(new Terminate(1)), actionsOfType(Terminate.class, actions));
+        assertEquals(0, actionsOfType(SendShot.class, actions).size());
+    }
+
     @Test
     void anUnrepeatableRecordThatWasRefusedIsShotAgain() {
         assertEquals(1, shotEndpoints(restoredRecord(1, DispatcherFixture.UNREPEATABLE, 900_000, Ending.FULL, false)).size());
