The body of a request is written in pieces, each checked against its deadline

What callers saw: nothing in service yet. A repeat that becomes complete after its deduplication window takes effect twice.

Cause: Exchange.produce handed the whole body to the library in one call, checked once before it. The library writes on for as long as the endpoint reads, 24 to 34 ms for 8 MB, and the deadline passes meanwhile.

Why this works: between two checks at most 64 KiB are written, which is one body as the protocol allows it. The check stands before the piece that would complete the request, so that what is left between check and write is the time of one small write.

--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -50,6 +50,8 @@
  * listener gets each connection whose call has ended, for the owner to pass to {@link #release}.
  */
 public final class ConnectionPool {
+    private static final int MAX_WRITE_BYTES = 64 << 10; // of a request's body, between two checks of its start deadline
+
     private final Reactor reactor;
     private final Limits limits;
     private final Counters counters;
@@ -184,9 +186,8 @@
          */
         boolean canWriteRequest() {
             Exchange currentExchange = exchange;
-            if (currentExchange != null && currentExchange.requestStarted
-                    && !isRequestWritten() && clock.getAsLong() >= currentExchange.call.startDeadline()) {
-                currentExchange.failed(null);
+            if (currentExchange != null && currentExchange.requestStarted && !isRequestWritten()
+                    && currentExchange.abandonIfTooLate()) {
                 return false;
             }
             boolean allowed = currentExchange == null || currentExchange.requestStarted || currentExchange.deferredOnce;
@@ -551,16 +552,42 @@
             return requestBody.remaining();
         }
 
+        /**
+         * Writes the body in pieces, and checks before each that it is not too late. The library writes on for as long as the
+         * peer reads, so that a single write of a large body can last past the start deadline.
+         */
         @Override
         public void produce(DataStreamChannel channel) throws IOException {
-            if (requestBody.hasRemaining()) {
-                channel.write(requestBody);
+            boolean writable = true;
+            while (writable && requestBody.hasRemaining()) {
+                if (abandonIfTooLate()) {
+                    return;
+                }
+                writable = writePiece(channel);
             }
             if (!requestBody.hasRemaining()) {
                 channel.endStream(null);
             }
         }
 
+        /** Writes the next piece of the body. Returns false if the connection does not take more at the moment. */
+        private boolean writePiece(DataStreamChannel channel) throws IOException {
+            ByteBuffer piece = requestBody.duplicate();
+            piece.limit(Math.min(requestBody.limit(), requestBody.position() + MAX_WRITE_BYTES));
+            channel.write(piece);
+            requestBody.position(piece.position());
+            return !piece.hasRemaining();
+        }
+
+        /** Gives the call up, and returns true, if its start deadline has passed. */
+        private boolean abandonIfTooLate() {
+            if (clock.getAsLong() < call.startDeadline()) {
+                return false;
+            }
+            failed(null);
+            return true;
+        }
+
         @Override
         public void consumeInformation(HttpResponse response, HttpContext context) throws HttpException {
             if (++informationalResponses > limits.maxHeaders()) {
