A record with little time left is sent as long as an answer can come in time

What callers saw: after a slow start a message with 170 to 240 ms left was given up without a call, though its endpoint answers in a few milliseconds.

Cause: Dispatcher.urgency takes the payoff 0.3 s from now for an answer that comes soon. For a record that is abandoned before that it is 0, and a record without urgency is never chosen; it waited until 10 to 30 ms before its end and was bounced.

Evidence: a record with 170 ms left and endpoints of which nothing is known, or which answer in 20 ms, got no call (new test).

Why this works: for a record abandoned within 0.3 s the payoff is taken at the mean latency of the fastest usable route, the design's own fit; where nothing is known nothing speaks against a try. Where answers take longer than the time left it is still not sent. All other records keep their urgency.

DispatcherTest.aRecordWithLittleTimeLeftIsSentIfAnAnswerCanComeInTime failed before and passes.

--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -396,10 +396,13 @@
 
     /**
      * The urgency by which records are sent: the payoff that is lost if the record is answered late instead of soon, plus
-     * a fifth of its late payoff, so that a record that loses nothing by waiting has some urgency too.
+     * a fifth of its late payoff, so that a record that loses nothing by waiting has some urgency too. A record that will be
+     * abandoned soon has the payoff of the earliest answer to be expected: it is sent as long as that is in time.
      */
-    private double urgency(PendingRecord record) {
-        return record.payoffAt(now + SHORT_HORIZON_MICROS, settings) - 0.8 * record.payoffAt(now + LONG_HORIZON_MICROS, settings);
+    private double urgency(PendingRecord record, double expectedLatency) {
+        boolean abandonedSoon = record.abandonAt <= now + SHORT_HORIZON_MICROS;
+        long soon = now + (abandonedSoon ? (long) Math.min(SHORT_HORIZON_MICROS, expectedLatency) : SHORT_HORIZON_MICROS);
+        return record.payoffAt(soon, settings) - 0.8 * record.payoffAt(now + LONG_HORIZON_MICROS, settings);
     }
 
     private void dispatch() {
@@ -424,10 +427,11 @@
         destination.degraded = destination.routes.stream().anyMatch(route -> route.failureDomain.isDegraded(now));
         List<Route> usable = destination.routes.stream().filter(this::isUsable).toList();
         double expectedSlotTime = usable.stream().mapToDouble(route -> route.failureDomain.expectedLatency(now)).min().orElse(1);
+        double expectedLatency = usable.stream().mapToDouble(route -> route.expectedLatency(now)).min().orElse(0);
         destination.nextRecord = null;
         destination.nextUrgency = 0;
         for (PendingRecord record : usable.isEmpty() ? Set.<PendingRecord>of() : destination.waitingRecords) {
-            double urgency = urgency(record) / expectedSlotTime;
+            double urgency = urgency(record, expectedLatency) / expectedSlotTime;
             if (urgency > destination.nextUrgency && record.notBefore <= now && record.keyQueue.canSend(record, now)
                     && usable.stream().anyMatch(route -> record.permitsShot(route, now, settings, null))) {
                 destination.nextRecord = record;
--- a/src/main/java/terndyke/decision/Route.java
+++ b/src/main/java/terndyke/decision/Route.java
@@ -104,6 +104,12 @@
         return (long) Math.max(MIN_OVERDUE_AFTER_MICROS, fit.minLatency() + 9 * spread);
     }
 
+    /** The mean latency of the answers of this route; 0 if nothing is known of it, so that nothing speaks against a try. */
+    double expectedLatency(long now) {
+        Fit fit = fit(now);
+        return fit == DEFAULT_FIT ? 0 : fit.meanLatency();
+    }
+
     /**
      * The latency and reliability of this route. Without outcomes of its own it takes the fit of its destination, else of
      * its hall: nodes with little traffic have outcomes of very few routes.
--- a/src/test/java/terndyke/decision/DispatcherTest.java
+++ b/src/test/java/terndyke/decision/DispatcherTest.java
@@ -90,6 +90,21 @@
         assertEquals(1, actionsOfType(SendShot.class, actions).size());
     }
 
+    /** Guards against records that were given up with 0.3 s left and no call, as after a slow restart. */
+    @Test
+    void aRecordWithLittleTimeLeftIsSentIfAnAnswerCanComeInTime() {
+        Event little = new Event.RecordAccepted(2, DispatcherFixture.IDEMPOTENT, 0, 0, 170_000, 0, 1, false, false, false);
+        assertEquals(1, actionsOfType(SendShot.class, dispatcher(settings(true, true, 100), 0)
+                .handleEvents(START_MICROS, List.of(little))).size(), "nothing is known of the endpoints");
+        for (long latency : new long[] {20_000, 200_000}) {
+            Dispatcher dispatcher = dispatcher(settings(true, true, 100), 0);
+            dispatcher.handleEvents(START_MICROS, List.of(recordAccepted(1, DispatcherFixture.IDEMPOTENT)));
+            List<Action> actions = dispatcher.handleEvents(START_MICROS + latency, List.of(new Event.ShotEnded(1, 0, 11,
+                    Ending.DONE, latency, 0, false, true, DispatcherFixture.NO_LOAD_REPORT), little));
+            assertEquals(latency == 20_000 ? 1 : 0, actionsOfType(SendShot.class, actions).size(), latency + " us an answer");
+        }
+    }
+
     /** Guards against a message without a final answer: its time may be over for the client though it was delivered. */
     @Test
     void aRecordThatIsDoneTooLateIsTerminatedAtOnce() {
