A start asks discovery and sends what is owed before it warms up

What callers felt: the time of a message that a restart has to send again goes on while the node rehearses for others. Up to 0.3 s of it went into the warm-up of a dispatcher before the node asked discovery, whose answer may take another second.

Change: the decision loop starts first; the warm-up runs while it waits for discovery and sends the records of the previous run. The node is ready only after both, as before.

--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -56,7 +56,6 @@
             log.warn("known list: cannot be read, ignored: " + e.getMessage());
         }
         rejectedEntries.forEach(text -> log.warn("known list: " + text));
-        WarmUp.warmUpDispatcher(configuration, limits.warmUpTimeoutMicros());
         RecordStore recordStore = new RecordStore(journal, limits, counters, log);
         Collection<TrackedRecord> restoredRecords = recordStore.restore(entries);
         reactor = new Reactor(limits, counters, log);
@@ -73,6 +72,8 @@
                 clock::now, () -> ready && !shuttingDown, decisionLoop::offerRequest,
                 request -> decisionLoop.post(new LoopEvent.ClientDisconnected(request)));
         reactor.listen(configuration.listenAddress(), requestHandler);
+        // only now: discovery is asked and the records of the previous run, whose time goes on, are sent meanwhile
+        WarmUp.warmUpDispatcher(configuration, limits.warmUpTimeoutMicros());
         WarmUp.warmUpHttp(configuration, reactor, clock, configuration.listenAddress(), limits.warmUpTimeoutMicros());
         awaitFirstTurn(limits.startTimeoutMicros());
         ready = true;
