The log names the connection of a failed call, its rest, and bytes that belong to no call

The logs could not tell whether a call had run on a connection that had just been used, nor that a response came twice. Each outbound connection has a number now; the lines about calls that failed, and the traces of calls, name it with the number of the call and the rest before it. Bytes that come while no call is out are counted (stray_answers) and logged with their first line and the time since the last response. No behaviour changes. ConnectionPool gets the log; its tests are changed for that alone.

--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -17,6 +17,8 @@
         DONE_LATE,
         /** Incomplete or unreadable answers to any of the node's own calls, by kind of defect. */
         ANSWERS_MISSING, ANSWERS_CUT, ANSWERS_UNREADABLE, ANSWERS_STALLED,
+        /** Bytes that came on a kept connection while no call was out on it, such as a second copy of an answer. */
+        STRAY_ANSWERS,
         /** Calls with notices that failed or were not answered in time, and notices answered only after their deadline. */
         NOTICES_UNANSWERED, NOTICES_LATE,
         /** Reasons for which requests were refused before they were admitted. */
--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -74,7 +74,7 @@
         reactor.listen(configuration.listenAddress(), requestHandler);
         // only now: discovery is asked and the records of the previous run, whose time goes on, are sent meanwhile
         WarmUp.warmUpDispatcher(configuration, limits.warmUpTimeoutMicros());
-        WarmUp.warmUpHttp(configuration, reactor, clock, configuration.listenAddress(), limits.warmUpTimeoutMicros());
+        WarmUp.warmUpHttp(configuration, reactor, clock, log, configuration.listenAddress(), limits.warmUpTimeoutMicros());
         awaitFirstTurn(limits.startTimeoutMicros());
         ready = true;
         log.trace(clock.now(), "serving");
--- a/src/main/java/terndyke/node/WarmUp.java
+++ b/src/main/java/terndyke/node/WarmUp.java
@@ -69,11 +69,11 @@
     }
 
     /** Sends health requests to the node's own listener, which handles them like those of any client. */
-    static void warmUpHttp(NodeConfiguration configuration, Reactor reactor, NodeClock clock,
+    static void warmUpHttp(NodeConfiguration configuration, Reactor reactor, NodeClock clock, NodeLog log,
             InetSocketAddress listenAddress, long timeoutMicros) {
         BlockingQueue<Call.Result> results = new LinkedBlockingQueue<>();
         BlockingQueue<ConnectionPool.PooledConnection> releasedConnections = new LinkedBlockingQueue<>();
-        ConnectionPool connectionPool = new ConnectionPool(reactor, configuration.limits(), new Counters(), clock::now,
+        ConnectionPool connectionPool = new ConnectionPool(reactor, configuration.limits(), new Counters(), log, clock::now,
                 releasedConnections::add);
         ConnectionPool.Peer peer = new ConnectionPool.Peer(listenAddress);
         Call call = new Call("GET", "/_health", new String[] {"Host", peer.hostHeader()}, new byte[0]);
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -43,6 +44,7 @@
 import terndyke.node.Counters;
 import terndyke.node.Counters.Counter;
 import terndyke.node.Limits;
+import terndyke.node.NodeLog;
 
 /**
  * Pool of the node's outbound HTTP/1.1 connections, with at most one call at a time on each. All methods are called by
@@ -51,21 +53,25 @@
  */
 public final class ConnectionPool {
     private static final int MAX_WRITE_BYTES = 64 << 10; // of a request's body, between two checks of its start deadline
+    private static final int STRAY_INPUT_LOG_BYTES = 64;
 
     private final Reactor reactor;
     private final Limits limits;
     private final Counters counters;
+    private final NodeLog log;
     private final LongSupplier clock;
     private final Consumer<PooledConnection> releaseListener;
     private final Map<Peer, Deque<PooledConnection>> idleConnections = new HashMap<>();
     private final Set<PooledConnection> busyConnections = new HashSet<>(); // with a call in progress
     private int openCount;
+    private long lastConnectionNumber;
 
-    public ConnectionPool(Reactor reactor, Limits limits, Counters counters, LongSupplier clock,
+    public ConnectionPool(Reactor reactor, Limits limits, Counters counters, NodeLog log, LongSupplier clock,
             Consumer<PooledConnection> releaseListener) {
         this.reactor = reactor;
         this.limits = limits;
         this.counters = counters;
+        this.log = log;
         this.clock = clock;
         this.releaseListener = releaseListener;
     }
@@ -118,6 +124,10 @@
      */
     public final class PooledConnection {
         private final Peer peer;
+        private final long number = ++lastConnectionNumber;
+        private int callCount = 1; // with the current call
+        private long restMicros; // between the connection's release after the call before and the start of the current call
+        private volatile long lastResponseAt; // when the last response was complete, on System.nanoTime(), in microseconds
         private volatile IOSession session;
         private volatile HttpConnection httpConnection;
         private volatile boolean discarded;
@@ -170,6 +180,7 @@
             Exchange currentExchange = exchange;
             readingInput = currentExchange != null && currentExchange.requestStarted && !currentExchange.completed;
             if (!readingInput) {
+                inspectStrayInput();
                 session.close(CloseMode.IMMEDIATE);
                 if (currentExchange != null && !currentExchange.completed) {
                     currentExchange.failed(null); // its request has not been started
@@ -197,12 +208,38 @@
             return allowed;
         }
 
+        /** Counts and logs bytes that belong to no call; the end of the input alone is no stray input. */
+        private void inspectStrayInput() {
+            ByteBuffer firstBytes = ByteBuffer.allocate(STRAY_INPUT_LOG_BYTES);
+            try {
+                if (session.read(firstBytes) > 0) {
+                    reportStrayInput(new String(firstBytes.array(), 0, firstBytes.position(), StandardCharsets.ISO_8859_1));
+                }
+            } catch (IOException e) {
+                // a reset: nothing has arrived
+            }
+        }
+
+        private void reportStrayInput(String firstBytes) {
+            counters.add(Counter.STRAY_ANSWERS);
+            log.infoAboutRecord(describe() + " closed: bytes that belong to no call, "
+                    + (System.nanoTime() / 1000 - lastResponseAt) / 1000 + " ms after its last response: "
+                    + firstBytes.lines().findFirst().orElse(""));
+        }
+
+        /** The connection with its current call and the rest before that, for the log. */
+        public String describe() {
+            return "connection " + number + " to " + peer.hostHeader() + ", call " + callCount
+                    + (callCount > 1 ? " after " + restMicros / 1000 + " ms of rest" : "");
+        }
+
         /** Called when the available input has been read. */
         void endInput() {
             readingInput = false;
             Exchange currentExchange = exchange;
             if (currentExchange != null && currentExchange.completed) {
                 if (responseParser.hasLeftoverBytes()) {
+                    reportStrayInput("in the same read as its last response");
                     session.close(CloseMode.IMMEDIATE);
                 }
                 currentExchange.releaseConnection();
@@ -248,6 +285,8 @@
                 connection = takeIdleConnection(idle, now)) {
             if (connection.isUsable() && now - connection.idleSince < limits.idleConnectionTimeoutMicros()) {
                 connection.firstCall = false; // ordered before the write of the volatile exchange below
+                connection.callCount++;
+                connection.restMicros = now - connection.idleSince;
                 connection.exchange = new Exchange(connection, call, inputKnownUntil, resultListener);
                 connection.session.enqueue(connection.exchange.createCommand(), Command.Priority.NORMAL);
                 busyConnections.add(connection);
@@ -508,6 +547,7 @@
         private void complete() {
             if (!completed) {
                 completed = true;
+                pooledConnection.lastResponseAt = System.nanoTime() / 1000;
                 if (pooledConnection.session != null) {
                     pooledConnection.session.setSocketTimeout(Timeout.DISABLED); // the owner thread closes idle connections
                 }
--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -83,7 +83,7 @@
         this.keyQuietMicros = configuration.deliverySettings().keyQuietPeriod();
         this.gradeCount = configuration.deliverySettings().grades().size();
         slowTurnDetector = new SlowTurnDetector(limits.slowTurnThresholdMicros(), limits.slowTurnLogIntervalMicros(), counters);
-        connectionPool = new ConnectionPool(reactor, limits, counters, clock::now,
+        connectionPool = new ConnectionPool(reactor, limits, counters, log, clock::now,
                 connection -> post(new LoopEvent.ConnectionReleased(connection)));
         decisionStage = new DecisionStage(new Dispatcher(configuration.deliverySettings()));
         intakeStage = new IntakeStage(recordStore.lastRecordNumber());
--- a/src/main/java/terndyke/node/stage/SendStage.java
+++ b/src/main/java/terndyke/node/stage/SendStage.java
@@ -86,7 +86,8 @@
         }
         if (log.isTracing()) {
             log.trace(now, "shot", record.entry.number(), shot.number, endpoint.uid(), endpoint.destination(),
-                    counters.get(Counter.CONNECTIONS_OPENED) > openedBefore ? "new" : "kept");
+                    counters.get(Counter.CONNECTIONS_OPENED) > openedBefore ? "new" : "kept",
+                    shot.connection == null ? "" : shot.connection.describe());
         }
     }
 
@@ -173,7 +174,8 @@
 
     private static String describeShot(TrackedRecord record, TrackedRecord.Shot shot, Ending ending, long completedAt) {
         return "attempt " + shot.number + " of " + record.entry.id() + " at " + shot.endpointUid + ": " + ending + " after "
-                + (completedAt - shot.firedAt) / 1000 + " ms";
+                + (completedAt - shot.firedAt) / 1000 + " ms"
+                + (shot.connection == null ? "" : " on " + shot.connection.describe());
     }
 
     /** Maps the result of a call to an ending; an unknown status is an error. */
--- a/src/test/java/terndyke/node/discovery/WatchTest.java
+++ b/src/test/java/terndyke/node/discovery/WatchTest.java
@@ -54,7 +54,7 @@
         Counters counters = new Counters();
         reactor = new Reactor(limits, counters, NodeFixtures.NO_LOG);
         reactor.start();
-        connectionPool = new ConnectionPool(reactor, limits, counters, () -> now, freedConnections::add);
+        connectionPool = new ConnectionPool(reactor, limits, counters, NodeFixtures.NO_LOG, () -> now, freedConnections::add);
         createWatch(false);
     }
 
--- a/src/test/java/terndyke/node/http/ConnectionPoolTest.java
+++ b/src/test/java/terndyke/node/http/ConnectionPoolTest.java
@@ -42,6 +42,7 @@
     private final BlockingQueue<Call.Result> results = new LinkedBlockingQueue<>();
     private final BlockingQueue<ConnectionPool.PooledConnection> releasedConnections = new LinkedBlockingQueue<>();
     private final Limits limits = Limits.fromResources(192, 1024, 3, 8, 40, 400_000, 1_000_000);
+    private final NodeLog log = new NodeLog(new PrintStream(PrintStream.nullOutputStream()), "test");
     private ServerSocket endpoint;
     private Reactor reactor;
     private ConnectionPool connectionPool;
@@ -49,13 +50,12 @@
 
     @BeforeEach
     void start() throws IOException {
-        NodeLog log = new NodeLog(new PrintStream(PrintStream.nullOutputStream()), "test");
         endpoint = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
         endpoint.setSoTimeout(5_000);
         peer = new ConnectionPool.Peer(endpointAddress());
         reactor = new Reactor(limits, counters, log);
         reactor.start();
-        connectionPool = new ConnectionPool(reactor, limits, counters, () -> 0, releasedConnections::add);
+        connectionPool = new ConnectionPool(reactor, limits, counters, log, () -> 0, releasedConnections::add);
     }
 
     @AfterEach
@@ -323,7 +323,7 @@
     @Test
     void anIdleConnectionStaysOpenLongerThanTheResponseTimeout() throws Exception {
         Limits longIdleLimits = Limits.fromResources(192, 1024, 3, 8, 40, 400_000, 15_000_000);
-        connectionPool = new ConnectionPool(reactor, longIdleLimits, counters, () -> 0, releasedConnections::add);
+        connectionPool = new ConnectionPool(reactor, longIdleLimits, counters, log, () -> 0, releasedConnections::add);
         startCall(BODY, 0);
         try (Socket connection = endpoint.accept()) {
             readRequest(connection);
@@ -419,7 +419,7 @@
 
     @Test
     void aCallThatCannotStartBeforeItsDeadlineIsNeverSent() throws Exception {
-        connectionPool = new ConnectionPool(reactor, limits, counters, () -> 500, releasedConnections::add);
+        connectionPool = new ConnectionPool(reactor, limits, counters, log, () -> 500, releasedConnections::add);
         connectionPool.startCall(peer, new Call("POST", "/events", new String[] {"Host", "x"}, BODY, 500), 0, results::add);
         try (Socket connection = endpoint.accept()) {
             assertEquals(Ending.NOT_SENT, awaitResult().ending());
@@ -430,7 +430,7 @@
     @Test
     void aCallWhoseLastByteWouldBeSentTooLateIsNeverSentCompletely() throws Exception {
         AtomicLong clock = new AtomicLong(100);
-        connectionPool = new ConnectionPool(reactor, limits, counters, clock::get, releasedConnections::add);
+        connectionPool = new ConnectionPool(reactor, limits, counters, log, clock::get, releasedConnections::add);
         endpoint.setReceiveBufferSize(4096);
         byte[] large = new byte[8 << 20]; // far more than the sockets hold
         connectionPool.startCall(peer, new Call("POST", "/events", new String[] {"Content-Length",
@@ -511,7 +511,7 @@
         for (int i = 0; i < 2; i++) { // fills the listen backlog, so that the next connection is not yet established
             backlog.add(new Socket(endpoint.getInetAddress(), endpoint.getLocalPort()));
         }
-        connectionPool = new ConnectionPool(reactor, Limits.fromResources(192, 1024, 3, 8, 40, 5_000_000, 1_000_000), counters,
+        connectionPool = new ConnectionPool(reactor, Limits.fromResources(192, 1024, 3, 8, 40, 5_000_000, 1_000_000), counters, log,
                 () -> 0, releasedConnections::add);
         connectionPool.startCall(peerWithFullBacklog, new Call("POST", "/events", new String[] {"Host", "x"}, BODY), 0,
                 results::add);
@@ -528,7 +528,7 @@
     @Test
     void aCallDecidedOnBeforeARetryAfterWasReceivedIsNotSentAfterIt() throws Exception {
         AtomicLong clock = new AtomicLong(1_000);
-        connectionPool = new ConnectionPool(reactor, limits, counters, clock::get, releasedConnections::add);
+        connectionPool = new ConnectionPool(reactor, limits, counters, log, clock::get, releasedConnections::add);
         startCall(BODY, 1_000);
         try (Socket connection = endpoint.accept()) {
             readRequest(connection);
