--- /dev/null
+++ b/src/test/java/terndyke/RepeatedResponseProcessTest.java
@@ -0,0 +1,125 @@
+package terndyke;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+import terndyke.RawServer.Request;
+import terndyke.RawServer.Response;
+
+/** Runs a node as a process behind a proxy that sends each response a second time, while the next call on its connection is out. */
+class RepeatedResponseProcessTest {
+    private static final long MAX_LAG_MILLIS = 80;
+    private static final long SERVICE_MILLIS = 30;
+    private static final long REST_MILLIS = 20; // of a connection between two calls: less than the lag
+    private static final long OVERLAP_MILLIS = 10; // after the copy has come, before the response to the call that is out
+    private static final long MESSAGE_TIMEOUT_MILLIS = 2_000;
+    private static final long NOTICE_GRACE_MILLIS = 500;
+    private static final int ROUNDS = 8;
+    private static final String REFUSED_FIRST = "refused-first-";
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    private static final String REFUSED = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n";
+
+    private final Map<String, AtomicInteger> callsById = new ConcurrentHashMap<>();
+    private final Map<String, AtomicInteger> runsById = new ConcurrentHashMap<>();
+    private final Set<String> reportedIds = new ConcurrentSkipListSet<>();
+
+    @TempDir
+    Path folder;
+
+    private Response answerDiscovery(Request request, String endpointAddress) {
+        if (request.path().equals("/v2/finals")) {
+            request.body().lines().forEach(line -> reportedIds.add(line.split("\"")[3]));
+            return Response.complete(NO_CONTENT);
+        }
+        return request.path().contains("after=") ? Response.NO_RESPONSE
+                : Response.json(TestNodeProcess.listJson(endpointAddress, ROUNDS));
+    }
+
+    private Response answerEvent(Request call) {
+        String id = call.header("Request-Id");
+        sleep(SERVICE_MILLIS);
+        if (count(callsById, id) == 1 && id.startsWith(REFUSED_FIRST)) {
+            return Response.complete(REFUSED);
+        }
+        count(runsById, id);
+        return Response.complete(OK);
+    }
+
+    private static int count(Map<String, AtomicInteger> counts, String id) {
+        return counts.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Plays one round for each destination: a delivery, then a message that the endpoint refuses the first time, and a third one
+     * while the second is called. Returns the accepted messages after all of them should have ended.
+     */
+    private List<String> playRounds(TestNodeProcess node) throws Exception {
+        List<String> accepted = new ArrayList<>();
+        for (int destination = 0; destination < ROUNDS; destination++) {
+            submit(node, "first-" + destination, destination, accepted);
+            sleep(SERVICE_MILLIS + REST_MILLIS);
+            submit(node, REFUSED_FIRST + destination, destination, accepted);
+            sleep(OVERLAP_MILLIS);
+            submit(node, "third-" + destination, destination, accepted);
+        }
+        sleep(MESSAGE_TIMEOUT_MILLIS + NOTICE_GRACE_MILLIS);
+        return accepted;
+    }
+
+    private static void submit(TestNodeProcess node, String id, int destination, List<String> accepted) throws Exception {
+        if (node.submit("payment", id, destination, MESSAGE_TIMEOUT_MILLIS).contains(" 202 ")) {
+            accepted.add(id);
+        }
+    }
+
+    /** Guards against a message counted as delivered by a copy of the response to the call before, although it was refused. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aCopyOfADeliveryIsNeverTakenForTheResponseToTheNextCall() throws Exception {
+        try (RawServer endpoint = new RawServer(this::answerEvent);
+                RepeatingProxy proxy = new RepeatingProxy(endpoint.address(), MAX_LAG_MILLIS);
+                RawServer platform = new RawServer(request -> answerDiscovery(request, proxy.address()));
+                TestNodeProcess node = TestNodeProcess.startServing(folder, platform.address())) {
+            List<String> accepted = playRounds(node);
+            assertEquals(3 * ROUNDS, accepted.size());
+            assertEquals(List.of(), accepted.stream()
+                    .filter(id -> !runsById.containsKey(id) && !reportedIds.contains(id)).toList(),
+                    "messages that were neither delivered nor reported");
+        }
+    }
+
+    /** Guards against a second run of a message that was taken for refused by the response to the call before. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aMessageIsNotSentAgainAfterTheLateResponseToTheCallBefore() throws Exception {
+        try (RawServer endpoint = new RawServer(this::answerEvent);
+                RepeatingProxy proxy = new RepeatingProxy(endpoint.address(), MAX_LAG_MILLIS);
+                RawServer platform = new RawServer(request -> answerDiscovery(request, proxy.address()));
+                TestNodeProcess node = TestNodeProcess.startServing(folder, platform.address())) {
+            playRounds(node);
+            assertEquals(List.of(), callsById.keySet().stream().filter(id -> !id.startsWith(REFUSED_FIRST)
+                    && callsById.get(id).get() > 1).toList(), "messages that ran and were called again");
+        }
+    }
+}
