--- a/src/test/java/terndyke/RepeatedResponseProcessTest.java
+++ b/src/test/java/terndyke/RepeatedResponseProcessTest.java
@@ -30,6 +30,7 @@
     private static final String REFUSED_FIRST = "refused-first-";
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     private static final String REFUSED = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+    private static final String FAILED = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
     private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n";
 
     private final Map<String, AtomicInteger> callsById = new ConcurrentHashMap<>();
@@ -93,6 +94,33 @@
         }
     }
 
+    /** Refuses the first call with a notice of each message that is refused first. */
+    private Response answerNotice(Request request) {
+        sleep(SERVICE_MILLIS);
+        List<String> ids = request.body().lines().map(line -> line.split("\"")[3]).toList();
+        if (ids.stream().anyMatch(id -> id.startsWith(REFUSED_FIRST) && count(callsById, id) == 1)) {
+            return Response.complete(REFUSED);
+        }
+        reportedIds.addAll(ids);
+        return Response.complete(NO_CONTENT);
+    }
+
+    /** Guards against a notice counted as accepted by a copy of the response to the notice before, although it was refused. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aCopyOfAnAcceptedNoticeIsNeverTakenForTheResponseToTheNextNotice() throws Exception {
+        try (RawServer endpoint = new RawServer(call -> Response.complete(FAILED));
+                RawServer platform = new RawServer(request -> request.path().equals("/v2/finals") ? answerNotice(request)
+                        : answerDiscovery(request, endpoint.address()));
+                RepeatingProxy proxy = new RepeatingProxy(platform.address(), MAX_LAG_MILLIS);
+                TestNodeProcess node = TestNodeProcess.startServing(folder, proxy.address())) {
+            List<String> accepted = playRounds(node);
+            assertEquals(3 * ROUNDS, accepted.size());
+            assertEquals(List.of(), accepted.stream().filter(id -> !reportedIds.contains(id)).toList(),
+                    "messages that failed and were not reported");
+        }
+    }
+
     /** Guards against a message counted as delivered by a copy of the response to the call before, although it was refused. */
     @Test
     @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
