Each notice call and each list call has a connection of its own

What callers saw: a message that failed and whose end was never reported. Cause: notices went one after another over one kept connection; a second copy of an earlier 204 that came while the next call was out was read as its answer, and settled notices that the platform had refused. The list calls had the same fault: an old list could be read as the newest answer. Why it works: a response can only be a copy of one that came on the same connection, and there is none before it. The platform's agent is local and gets one call in 2 s, so that connections are cheap. The closing of idle connections after a lost notice has nothing left to close and is gone. WatchTest now demands that each call's connection ends with it; the branch that allowed a kept connection is gone with the kept connection.

--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -84,15 +84,18 @@
         private final InetSocketAddress address;
         private final AtomicLong retryAfterReceivedAt; // last Retry-After of any peer of the destination
         private boolean exemptFromLimit; // may connect although the maximum of connections is open
+        private boolean singleUse; // each call has a connection of its own
         private boolean removed;
 
         /**
          * A peer of the platform, whose few calls are exempt from the limit on connections. Otherwise endpoints that
          * never respond could occupy all connections and block notices and the watch. The limits set sockets aside for it.
+         * Each call has a connection of its own, on which no late copy of an earlier response can come.
          */
         public static Peer forPlatform(InetSocketAddress address) {
             Peer peer = new Peer(address);
             peer.exemptFromLimit = true;
+            peer.singleUse = true;
             return peer;
         }
 
@@ -371,7 +374,7 @@
     public void release(PooledConnection connection, long now) {
         busyConnections.remove(connection);
         if (connection.isUsable() && !connection.discarded && !connection.closeAfterCall && !connection.peer.removed
-                && limits.idleConnectionTimeoutMicros() > 0) {
+                && !connection.peer.singleUse && limits.idleConnectionTimeoutMicros() > 0) {
             connection.idleSince = now;
             connection.exchange = null;
             idleConnections.computeIfAbsent(connection.peer, p -> new ArrayDeque<>(4)).addLast(connection);
--- a/src/main/java/terndyke/node/stage/NotificationStage.java
+++ b/src/main/java/terndyke/node/stage/NotificationStage.java
@@ -199,17 +199,13 @@
         }
     }
 
-    /**
-     * Schedules the next call and closes the idle connections, so that it opens a new one: a kept connection that lost a
-     * call would lose the next one too.
-     */
+    /** Schedules the next call. */
     private void handleCallFailure(String reason, long now, long delayMicros) {
         counters.add(Counter.NOTICES_UNANSWERED);
         if (consecutiveFailures++ == 0) {
             log.warn("notices unanswered: " + pendingNotices.size() + " pending, first "
                     + pendingNotices.iterator().next().entry.id() + ", " + reason);
         }
-        connectionPool.closeIdle(platform);
         callInFlight = false;
         callNumber++;
         retryAt = now + delayMicros;
--- a/src/test/java/terndyke/node/discovery/WatchTest.java
+++ b/src/test/java/terndyke/node/discovery/WatchTest.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
@@ -93,9 +94,22 @@
                 .getBytes(StandardCharsets.US_ASCII));
         NumberedResult numberedResult = results.poll(30, TimeUnit.SECONDS);
         connectionPool.release(freedConnections.poll(30, TimeUnit.SECONDS), now);
+        assertConnectionClosed();
         return watch.handleResult(numberedResult.callNumber, numberedResult.result, now) != null;
     }
 
+    /** Each call has a connection of its own, so that no late copy of an earlier list can be taken for its answer. */
+    private void assertConnectionClosed() throws IOException {
+        connection.setSoTimeout(20_000);
+        try {
+            assertEquals(-1, connection.getInputStream().read(), "the connection must end with its call");
+        } catch (SocketException e) {
+            // closed by a reset
+        }
+        connection.close();
+        connection = null;
+    }
+
     /** Leaves the call in flight unanswered until it times out; the next one comes on a new connection. */
     private void timeOutCall() throws Exception {
         long timeoutAt = watch.dueAt();
@@ -174,10 +188,6 @@
             assertTrue(!answer("503 Full", ""));
             assertTrue(watch.dueAt() - now <= CHANGE_DEADLINE_MICROS - 2 * SAFETY_MARGIN_MICROS,
                     "microseconds of delay: " + (watch.dueAt() - now));
-            if (watch.dueAt() - now >= limits.idleConnectionTimeoutMicros()) { // the next call comes on a new connection
-                connection.close();
-                connection = null;
-            }
             now = watch.dueAt();
             watch.runDueActions(now);
             assertEquals("/catalog/members?after=7&wait_ms=" + limits.watchWaitMicros() / 1000, awaitRequestPath(),
