A response that may be a copy of an earlier one on its connection proves nothing

Cause: a connection was used again 10 ms after its last response, or at once if none had rested so long. A second copy of that response that came after the next request was written was read as its response, and each later response then as that of the call behind it. Why it works: copies are expected for 100 ms after a response. A connection is used again only if that is over when the endpoint may answer: it has rested so long, or its rest and the shortest delivery of that endpoint together are as long. After a refusal, which may come at once, it has to rest for the whole time. A response that has the status of an earlier one within that time all the same, is doubtful: its connection is closed and the call counts as one that may have run, so that no rule rests on it.

--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -19,6 +19,8 @@
         ANSWERS_MISSING, ANSWERS_CUT, ANSWERS_UNREADABLE, ANSWERS_STALLED,
         /** Bytes that came on a kept connection while no call was out on it, such as a second copy of an answer. */
         STRAY_ANSWERS,
+        /** Answers that may be a second copy of an earlier one on their connection, and do not count therefore. */
+        ANSWERS_DOUBTFUL,
         /** Calls with notices that failed or were not answered in time, and notices answered only after their deadline. */
         NOTICES_UNANSWERED, NOTICES_LATE,
         /** Reasons for which requests were refused before they were admitted. */
--- a/src/main/java/terndyke/node/WarmUp.java
+++ b/src/main/java/terndyke/node/WarmUp.java
@@ -75,7 +75,7 @@
         BlockingQueue<ConnectionPool.PooledConnection> releasedConnections = new LinkedBlockingQueue<>();
         ConnectionPool connectionPool = new ConnectionPool(reactor, configuration.limits(), new Counters(), log, clock::now,
                 releasedConnections::add);
-        ConnectionPool.Peer peer = new ConnectionPool.Peer(listenAddress);
+        ConnectionPool.Peer peer = ConnectionPool.Peer.forOwnListener(listenAddress);
         Call call = new Call("GET", "/_health", new String[] {"Host", peer.hostHeader()}, new byte[0]);
         long deadlineNanos = System.nanoTime() + timeoutMicros * 1000;
         try {
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -54,6 +54,7 @@
 public final class ConnectionPool {
     private static final int MAX_WRITE_BYTES = 64 << 10; // of a request's body, between two checks of its start deadline
     private static final int STRAY_INPUT_LOG_BYTES = 64;
+    private static final int SHORTEST_DELIVERY_GROWTH_DIVISOR = 32; // with each delivery, so that an outlier is forgotten
 
     private final Reactor reactor;
     private final Limits limits;
@@ -76,6 +77,14 @@
         this.releaseListener = releaseListener;
     }
 
+    /** When a connection may serve another call. */
+    private enum ConnectionReuse {
+        ALWAYS,
+        /** Once no copy of an earlier response is expected to come before the response to the next call. */
+        WITHOUT_EXPECTED_COPIES,
+        NEVER
+    }
+
     /**
      * The server at an address, for as long as it is the same one. A later server at that address is another peer and
      * never gets a connection of this one.
@@ -84,8 +93,9 @@
         private final InetSocketAddress address;
         private final AtomicLong retryAfterReceivedAt; // last Retry-After of any peer of the destination
         private boolean exemptFromLimit; // may connect although the maximum of connections is open
-        private boolean singleUse; // each call has a connection of its own
+        private ConnectionReuse connectionReuse = ConnectionReuse.WITHOUT_EXPECTED_COPIES;
         private boolean removed;
+        private volatile long shortestDeliveryMicros; // about the shortest time of the last deliveries; 0 before the first one
 
         /**
          * A peer of the platform, whose few calls are exempt from the limit on connections. Otherwise endpoints that
@@ -95,7 +105,14 @@
         public static Peer forPlatform(InetSocketAddress address) {
             Peer peer = new Peer(address);
             peer.exemptFromLimit = true;
-            peer.singleUse = true;
+            peer.connectionReuse = ConnectionReuse.NEVER;
+            return peer;
+        }
+
+        /** The node's own listener, which never repeats a response. */
+        public static Peer forOwnListener(InetSocketAddress address) {
+            Peer peer = new Peer(address);
+            peer.connectionReuse = ConnectionReuse.ALWAYS;
             return peer;
         }
 
@@ -109,6 +126,11 @@
             this.retryAfterReceivedAt = retryAfterReceivedAt;
         }
 
+        private void addDelivery(long elapsedMicros) {
+            long raised = shortestDeliveryMicros + shortestDeliveryMicros / SHORTEST_DELIVERY_GROWTH_DIVISOR;
+            shortestDeliveryMicros = shortestDeliveryMicros == 0 ? elapsedMicros : Math.min(elapsedMicros, raised);
+        }
+
         public InetSocketAddress address() {
             return address;
         }
@@ -130,6 +152,8 @@
         private final long number = ++lastConnectionNumber;
         private int callCount = 1; // with the current call
         private long restMicros; // between the connection's release after the call before and the start of the current call
+        private final ResponseHistory responseHistory = new ResponseHistory(limits.responseCopyWindowMicros());
+        private volatile int lastStatus; // of the last response
         private volatile long lastResponseAt; // when the last response was complete, on System.nanoTime(), in microseconds
         private volatile IOSession session;
         private volatile HttpConnection httpConnection;
@@ -284,8 +308,8 @@
     public PooledConnection startCall(Peer peer, Call call, long now, long inputKnownUntil,
             Call.ResultListener resultListener) {
         Deque<PooledConnection> idle = idleConnections.getOrDefault(peer, new ArrayDeque<>(0));
-        for (PooledConnection connection = takeIdleConnection(idle, now); connection != null;
-                connection = takeIdleConnection(idle, now)) {
+        for (PooledConnection connection = takeIdleConnection(idle, call, now); connection != null;
+                connection = takeIdleConnection(idle, call, now)) {
             if (connection.isUsable() && now - connection.idleSince < limits.idleConnectionTimeoutMicros()) {
                 connection.firstCall = false; // ordered before the write of the volatile exchange below
                 connection.callCount++;
@@ -329,18 +353,25 @@
     }
 
     /**
-     * Takes the most recently used connection that has been idle for at least the reuse delay, in which any stray input after
-     * its last response arrives; if there is none, the most recently used one.
+     * Takes an idle connection on which the response to the call cannot be mistaken: the most recently used one on which no copy
+     * of an earlier response is expected any more; otherwise the least recently used one, if its last call was delivered and
+     * copies are no longer expected by the time at which the endpoint may answer. A refusal may come at once.
      */
-    private PooledConnection takeIdleConnection(Deque<PooledConnection> idle, long now) {
+    private PooledConnection takeIdleConnection(Deque<PooledConnection> idle, Call call, long now) {
         for (Iterator<PooledConnection> newestFirst = idle.descendingIterator(); newestFirst.hasNext();) {
             PooledConnection connection = newestFirst.next();
-            if (now - connection.idleSince >= limits.connectionReuseDelayMicros()) {
+            if (connection.peer.connectionReuse == ConnectionReuse.ALWAYS
+                    || now - connection.idleSince >= limits.responseCopyWindowMicros()) {
                 newestFirst.remove();
                 return connection;
             }
         }
-        return idle.pollLast();
+        PooledConnection oldest = idle.peekFirst();
+        if (oldest == null || call.method().equals("GET") || oldest.lastStatus != 200) {
+            return null;
+        }
+        long earliestResponseAt = now + oldest.peer.shortestDeliveryMicros;
+        return earliestResponseAt - oldest.idleSince >= limits.responseCopyWindowMicros() ? idle.pollFirst() : null;
     }
 
     /**
@@ -374,7 +405,7 @@
     public void release(PooledConnection connection, long now) {
         busyConnections.remove(connection);
         if (connection.isUsable() && !connection.discarded && !connection.closeAfterCall && !connection.peer.removed
-                && !connection.peer.singleUse && limits.idleConnectionTimeoutMicros() > 0) {
+                && connection.peer.connectionReuse != ConnectionReuse.NEVER && limits.idleConnectionTimeoutMicros() > 0) {
             connection.idleSince = now;
             connection.exchange = null;
             idleConnections.computeIfAbsent(connection.peer, p -> new ArrayDeque<>(4)).addLast(connection);
@@ -472,6 +503,7 @@
         private long retryAfterMicros; // from its header line, known before the head is complete
         private ByteBuffer responseBody;
         private volatile boolean requestStarted;
+        private long requestStartedAt; // on System.nanoTime(), in microseconds
         private volatile boolean withheld;
         private final long inputKnownUntil;
         private boolean deferredOnce; // one pass over all connections has been made since the call was queued
@@ -510,6 +542,7 @@
                 case CUT_IN_FIRST_LINE, CUT_IN_HEAD, CUT_IN_BODY -> counters.add(Counter.ANSWERS_CUT);
                 case UNREADABLE -> counters.add(Counter.ANSWERS_UNREADABLE);
                 case STALLED -> counters.add(Counter.ANSWERS_STALLED);
+                case POSSIBLE_COPY -> counters.add(Counter.ANSWERS_DOUBTFUL);
             }
         }
 
@@ -517,6 +550,14 @@
         void onStatusLine(int newStatus) {
             status = newStatus;
             retryAfterMicros = 0;
+            if (pooledConnection.peer.connectionReuse != ConnectionReuse.ALWAYS
+                    && pooledConnection.responseHistory.mayBeCopy(newStatus, System.nanoTime() / 1000)) {
+                defect = ResponseDefect.POSSIBLE_COPY;
+            }
+        }
+
+        private boolean isDoubtful() {
+            return defect == ResponseDefect.POSSIBLE_COPY;
         }
 
         /**
@@ -529,7 +570,7 @@
         }
 
         private boolean isDone() {
-            return status == 200 && !call.method().equals("GET");
+            return status == 200 && !call.method().equals("GET") && !isDoubtful();
         }
 
         /** Called when part of the response has arrived: one deadline applies to all of the rest, however slowly it arrives. */
@@ -585,6 +626,7 @@
             pooledConnection.requestEndOffset = pooledConnection.httpConnection.getEndpointDetails().getSentBytesCount()
                     + headBytes + call.body().length;
             requestStarted = true;
+            requestStartedAt = System.nanoTime() / 1000;
             pooledConnection.session.setSocketTimeout(Timeout.DISABLED);
             channel.sendRequest(request, call.body().length == 0 ? null
                     : new BasicEntityDetails(call.body().length, null), context);
@@ -662,6 +704,16 @@
          * Called when the response is complete. Only then does a status other than 200 show that the call was not executed.
          */
         private void completeResponse() {
+            if (isDoubtful()) {
+                failed(null);
+                return;
+            }
+            long now = System.nanoTime() / 1000;
+            pooledConnection.responseHistory.add(status, now);
+            pooledConnection.lastStatus = status;
+            if (isDone()) {
+                pooledConnection.peer.addDelivery(now - requestStartedAt);
+            }
             byte[] body = null;
             if (responseBody != null) {
                 body = new byte[responseBody.flip().remaining()];
--- a/src/main/java/terndyke/node/http/ResponseDefect.java
+++ b/src/main/java/terndyke/node/http/ResponseDefect.java
@@ -15,5 +15,7 @@
     /** The bytes received cannot be parsed as a response. */
     UNREADABLE,
     /** The rest of the response did not arrive before the read timeout. */
-    STALLED
+    STALLED,
+    /** The response may be a second copy of one that came on its connection just before. */
+    POSSIBLE_COPY
 }
