A copy on an idle connection shows for how long copies are to be expected

Cause: the time for which copies are expected was fixed. Change: a copy (a response with the status of the last one) on an idle connection, where it does no harm, widens it to twice its lag, at most 2 s, for a minute after the last one seen; for all endpoints, as the path to them may be shared. Test: aLateCopyOnAnIdleConnection..., red before, green now. Left: the first copies that come later than 100 ms can still meet a call.

--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -61,6 +61,7 @@
     private final Counters counters;
     private final NodeLog log;
     private final LongSupplier clock;
+    private final CopyWindow copyWindow;
     private final Consumer<PooledConnection> releaseListener;
     private final Map<Peer, Deque<PooledConnection>> idleConnections = new HashMap<>();
     private final Set<PooledConnection> busyConnections = new HashSet<>(); // with a call in progress
@@ -74,6 +75,7 @@
         this.counters = counters;
         this.log = log;
         this.clock = clock;
+        copyWindow = new CopyWindow(limits, () -> System.nanoTime() / 1000);
         this.releaseListener = releaseListener;
     }
 
@@ -152,7 +154,8 @@
         private final long number = ++lastConnectionNumber;
         private int callCount = 1; // with the current call
         private long restMicros; // between the connection's release after the call before and the start of the current call
-        private final ResponseHistory responseHistory = new ResponseHistory(limits.responseCopyWindowMicros());
+        private final ResponseHistory responseHistory = new ResponseHistory(copyWindow,
+                limits.maxResponseCopyWindowMicros());
         private volatile int lastStatus; // of the last response
         private volatile long lastResponseAt; // when the last response was complete, on System.nanoTime(), in microseconds
         private volatile IOSession session;
@@ -240,7 +243,11 @@
             ByteBuffer firstBytes = ByteBuffer.allocate(STRAY_INPUT_LOG_BYTES);
             try {
                 if (session.read(firstBytes) > 0) {
-                    reportStrayInput(new String(firstBytes.array(), 0, firstBytes.position(), StandardCharsets.ISO_8859_1));
+                    String text = new String(firstBytes.array(), 0, firstBytes.position(), StandardCharsets.ISO_8859_1);
+                    reportStrayInput(text);
+                    if (text.startsWith("HTTP/1.1 " + lastStatus)) {
+                        copyWindow.addObservedLag(System.nanoTime() / 1000 - lastResponseAt);
+                    }
                 }
             } catch (IOException e) {
                 // a reset: nothing has arrived
@@ -358,10 +365,11 @@
      * copies are no longer expected by the time at which the endpoint may answer. A refusal may come at once.
      */
     private PooledConnection takeIdleConnection(Deque<PooledConnection> idle, Call call, long now) {
+        long copyWindowMicros = copyWindow.micros();
         for (Iterator<PooledConnection> newestFirst = idle.descendingIterator(); newestFirst.hasNext();) {
             PooledConnection connection = newestFirst.next();
             if (connection.peer.connectionReuse == ConnectionReuse.ALWAYS
-                    || now - connection.idleSince >= limits.responseCopyWindowMicros()) {
+                    || now - connection.idleSince >= copyWindowMicros) {
                 newestFirst.remove();
                 return connection;
             }
@@ -371,7 +379,7 @@
             return null;
         }
         long earliestResponseAt = now + oldest.peer.shortestDeliveryMicros;
-        return earliestResponseAt - oldest.idleSince >= limits.responseCopyWindowMicros() ? idle.pollFirst() : null;
+        return earliestResponseAt - oldest.idleSince >= copyWindowMicros ? idle.pollFirst() : null;
     }
 
     /**
--- a/src/test/java/terndyke/RepeatedResponseProcessTest.java
+++ b/src/test/java/terndyke/RepeatedResponseProcessTest.java
@@ -75,11 +75,11 @@
      * Plays one round for each destination: a delivery, then a message that the endpoint refuses the first time, and a third one
      * while the second is called. Returns the accepted messages after all of them should have ended.
      */
-    private List<String> playRounds(TestNodeProcess node) throws Exception {
+    private List<String> playRounds(TestNodeProcess node, long restMillis) throws Exception {
         List<String> accepted = new ArrayList<>();
         for (int destination = 0; destination < ROUNDS; destination++) {
             submit(node, "first-" + destination, destination, accepted);
-            sleep(SERVICE_MILLIS + REST_MILLIS);
+            sleep(SERVICE_MILLIS + restMillis);
             submit(node, REFUSED_FIRST + destination, destination, accepted);
             sleep(OVERLAP_MILLIS);
             submit(node, "third-" + destination, destination, accepted);
@@ -114,7 +114,7 @@
                         : answerDiscovery(request, endpoint.address()));
                 RepeatingProxy proxy = new RepeatingProxy(platform.address(), MAX_LAG_MILLIS);
                 TestNodeProcess node = TestNodeProcess.startServing(folder, proxy.address())) {
-            List<String> accepted = playRounds(node);
+            List<String> accepted = playRounds(node, REST_MILLIS);
             assertEquals(3 * ROUNDS, accepted.size());
             assertEquals(List.of(), accepted.stream().filter(id -> !reportedIds.contains(id)).toList(),
                     "messages that failed and were not reported");
@@ -129,7 +129,26 @@
                 RepeatingProxy proxy = new RepeatingProxy(endpoint.address(), MAX_LAG_MILLIS);
                 RawServer platform = new RawServer(request -> answerDiscovery(request, proxy.address()));
                 TestNodeProcess node = TestNodeProcess.startServing(folder, platform.address())) {
-            List<String> accepted = playRounds(node);
+            List<String> accepted = playRounds(node, REST_MILLIS);
+            assertEquals(3 * ROUNDS, accepted.size());
+            assertEquals(List.of(), accepted.stream()
+                    .filter(id -> !runsById.containsKey(id) && !reportedIds.contains(id)).toList(),
+                    "messages that were neither delivered nor reported");
+        }
+    }
+
+    /** Guards against copies that come later than expected, after one of them has shown on an idle connection how late they come. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aLateCopyOnAnIdleConnectionShowsForHowLongCopiesAreToBeExpected() throws Exception {
+        long lagMillis = 300;
+        try (RawServer endpoint = new RawServer(this::answerEvent);
+                RepeatingProxy proxy = new RepeatingProxy(endpoint.address(), lagMillis);
+                RawServer platform = new RawServer(request -> answerDiscovery(request, proxy.address()));
+                TestNodeProcess node = TestNodeProcess.startServing(folder, platform.address())) {
+            submit(node, "alone", 0, new ArrayList<>());
+            sleep(SERVICE_MILLIS + 2 * lagMillis);
+            List<String> accepted = playRounds(node, lagMillis / 2);
             assertEquals(3 * ROUNDS, accepted.size());
             assertEquals(List.of(), accepted.stream()
                     .filter(id -> !runsById.containsKey(id) && !reportedIds.contains(id)).toList(),
@@ -145,7 +164,7 @@
                 RepeatingProxy proxy = new RepeatingProxy(endpoint.address(), MAX_LAG_MILLIS);
                 RawServer platform = new RawServer(request -> answerDiscovery(request, proxy.address()));
                 TestNodeProcess node = TestNodeProcess.startServing(folder, platform.address())) {
-            playRounds(node);
+            playRounds(node, REST_MILLIS);
             assertEquals(List.of(), callsById.keySet().stream().filter(id -> !id.startsWith(REFUSED_FIRST)
                     && callsById.get(id).get() > 1).toList(), "messages that ran and were called again");
         }
