--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -354,26 +354,36 @@
     }
 
     /**
-     * Takes an idle connection on which the response to the call cannot be mistaken: the most recently used one on which no copy
-     * of an earlier response is expected any more; otherwise the least recently used one, if its last call was delivered and
-     * copies are no longer expected by the time at which the endpoint may answer. A refusal may come at once.
+     * Takes an idle connection on which the response to the call cannot be mistaken: the most recently used one that has been
+     * idle for at least the reuse delay, in which most stray input arrives; if there is none, the most recently used one.
      */
     private PooledConnection takeIdleConnection(Deque<PooledConnection> idle, Call call, long now) {
-        long copyWindowMicros = copyWindow.micros();
+        PooledConnection chosen = null;
         for (Iterator<PooledConnection> newestFirst = idle.descendingIterator(); newestFirst.hasNext();) {
             PooledConnection connection = newestFirst.next();
-            if (connection.peer.connectionReuse == ConnectionReuse.ALWAYS
-                    || now - connection.idleSince >= copyWindowMicros) {
-                newestFirst.remove();
-                return connection;
+            if (isResponseUnmistakable(connection, call, now)) {
+                boolean rested = now - connection.idleSince >= limits.connectionReuseDelayMicros();
+                chosen = chosen == null || rested ? connection : chosen;
+                if (rested) {
+                    break;
+                }
             }
         }
-        PooledConnection oldest = idle.peekFirst();
-        if (oldest == null || call.method().equals("GET") || oldest.lastStatus != 200) {
-            return null;
+        if (chosen != null) {
+            idle.remove(chosen);
         }
-        long earliestResponseAt = now + oldest.peer.deliveryTimes.shortestMicros();
-        return earliestResponseAt - oldest.idleSince >= copyWindowMicros ? idle.pollFirst() : null;
+        return chosen;
+    }
+
+    /**
+     * True if no copy of an earlier response is expected any more by the time at which the endpoint may answer the call: after a
+     * delivery not before the time that its deliveries take, after any other response at once.
+     */
+    private boolean isResponseUnmistakable(PooledConnection connection, Call call, long now) {
+        boolean deliveriesOnly = connection.lastStatus == 200 && !call.method().equals("GET");
+        long earliestResponseAt = now + (deliveriesOnly ? connection.peer.deliveryTimes.shortestMicros() : 0);
+        return connection.peer.connectionReuse == ConnectionReuse.ALWAYS
+                || earliestResponseAt - connection.idleSince >= copyWindow.micros();
     }
 
     /**
