The laboratory sends the second copy of a response at once or up to 32 ms later

One copy in five comes at once now, the others 8, 16, 24 or 32 ms later, when the next call may be out.

--- a/src/main/java/terndyke/lab/emulate/ReceiverHost.java
+++ b/src/main/java/terndyke/lab/emulate/ReceiverHost.java
@@ -37,6 +37,8 @@
     private static final byte[] ENDLESS_BODY_CHUNK = new byte[32 << 10];
     private static final int ENDLESS_BODY_LIMIT_BYTES = 8 << 20; // then even an endless response ends, by a reset
     private static final byte[] EMPTY_BODY = new byte[0];
+    private static final long COPY_LAG_STEP_MICROS = 8_000;
+    private static final int COPY_LAG_STEPS = 5;
 
     private final SocketReactor reactor;
     private final TaskScheduler scheduler;
@@ -49,6 +51,7 @@
     private final List<UnreachableAddress> unreachableAddresses = new ArrayList<>();
     private final Set<NodeConnection> connections = new HashSet<>();
     private Receiver receiver;
+    private long copyCount; // of responses that are sent twice
     private ConnectOutcome connectOutcome = ConnectOutcome.REFUSED;
     private boolean addressesOutdated; // the listeners do not match connectOutcome yet
     private long nextAdvanceMicros = Long.MAX_VALUE;
@@ -368,12 +371,26 @@
                     pendingCall = null;
                     write(bytes);
                     if (response.mode() == Response.ResponseMode.DUPLICATED) {
-                        write(bytes);
+                        sendCopy(bytes);
                     }
                 }
             }
         }
 
+        /** Sends a response again: at once, or with a lag, when the next call may be out on the connection. */
+        private void sendCopy(byte[] bytes) {
+            long lagMicros = copyCount++ % COPY_LAG_STEPS * COPY_LAG_STEP_MICROS;
+            if (lagMicros == 0) {
+                write(bytes);
+                return;
+            }
+            scheduler.schedule(TaskScheduler.nowMicros() + lagMicros, () -> {
+                if (isOpen()) {
+                    write(bytes);
+                }
+            });
+        }
+
         private void continueEndlessBody(int writtenBytes) {
             if (isOpen() && writtenBytes < ENDLESS_BODY_LIMIT_BYTES) {
                 boolean previousChunkWritten = unsentBytes() == 0;
--- a/src/main/java/terndyke/lab/plan/Failure.java
+++ b/src/main/java/terndyke/lab/plan/Failure.java
@@ -37,7 +37,7 @@
         @JsonProperty("spoilt") SPOILT(TargetType.RECEIVER, 0.5),
         /** The given share of the answers never ends. */
         @JsonProperty("endless") ENDLESS(TargetType.RECEIVER, 0.3),
-        /** The given share of the answers is sent twice. */
+        /** The given share of the answers is sent twice: the second time at once or up to 32 ms later. */
         @JsonProperty("doubled") DOUBLED(TargetType.RECEIVER, 0.3),
         /** New connections are refused; open ones keep working. */
         @JsonProperty("refused") REFUSED(TargetType.RECEIVER, 0),
