The times of an endpoint's deliveries are kept without a count that could overflow

Found by reading: after 2^31 deliveries to one endpoint the index of DeliveryTimes would have been negative, an exception on the I/O thread. Index and number of times stay below 16 now. ResponseHistoryTest covers what is remembered of responses, copies and times (4 tests).

--- a/src/main/java/terndyke/node/http/DeliveryTimes.java
+++ b/src/main/java/terndyke/node/http/DeliveryTimes.java
@@ -10,12 +10,15 @@
     private static final int CAPACITY = 16;
 
     private final long[] lastMicros = new long[CAPACITY];
-    private int count;
+    private int count; // of the times held
+    private int next; // index of the next time
     private volatile long shortestMicros;
 
     void add(long micros) {
-        lastMicros[count++ % CAPACITY] = micros;
-        long[] sorted = Arrays.copyOf(lastMicros, Math.min(count, CAPACITY));
+        lastMicros[next] = micros;
+        next = (next + 1) % CAPACITY;
+        count = Math.min(count + 1, CAPACITY);
+        long[] sorted = Arrays.copyOf(lastMicros, count);
         Arrays.sort(sorted);
         shortestMicros = sorted.length == 1 ? sorted[0] / 2 : sorted[1];
     }
--- /dev/null
+++ b/src/test/java/terndyke/node/http/ResponseHistoryTest.java
@@ -0,0 +1,63 @@
+package terndyke.node.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.Test;
+
+import terndyke.node.Limits;
+
+/** What a connection, an endpoint and the pool remember to tell copies of responses from responses. */
+class ResponseHistoryTest {
+    private final Limits limits = Limits.fromResources(192, 1024, 3, 8, 40, 400_000, 1_000_000);
+    private final AtomicLong clock = new AtomicLong(1_000_000);
+    private final CopyWindow copyWindow = new CopyWindow(limits, clock::get);
+    private final ResponseHistory history = new ResponseHistory(copyWindow, limits.maxResponseCopyWindowMicros());
+
+    @Test
+    void onlyAResponseWithTheStatusOfARecentOneMayBeACopy() {
+        history.add(200, 1_000_000);
+        assertTrue(history.mayBeCopy(200, 1_000_000 + limits.responseCopyWindowMicros() - 1));
+        assertFalse(history.mayBeCopy(200, 1_000_000 + limits.responseCopyWindowMicros()));
+        assertFalse(history.mayBeCopy(503, 1_000_001));
+    }
+
+    /** Guards against a copy of the response before the last one, which a response with another status does not make harmless. */
+    @Test
+    void anOlderResponseIsRememberedBesideTheLastOne() {
+        history.add(503, 1_000_000);
+        history.add(200, 1_020_000);
+        assertTrue(history.mayBeCopy(503, 1_040_000));
+    }
+
+    @Test
+    void anObservedCopyWidensTheWindowForAWhile() {
+        copyWindow.addObservedLag(1_000);
+        assertEquals(limits.widenedCopyWindowMicros(), copyWindow.micros());
+        copyWindow.addObservedLag(300_000);
+        assertEquals(600_000, copyWindow.micros());
+        copyWindow.addObservedLag(1_000);
+        assertEquals(600_000, copyWindow.micros());
+        copyWindow.addObservedLag(30_000_000);
+        assertEquals(limits.maxResponseCopyWindowMicros(), copyWindow.micros());
+        clock.addAndGet(limits.copyWindowRetentionMicros());
+        assertEquals(limits.responseCopyWindowMicros(), copyWindow.micros());
+    }
+
+    @Test
+    void oneShortDeliveryIsLeftOutAndOldOnesAreForgotten() {
+        DeliveryTimes times = new DeliveryTimes();
+        assertEquals(0, times.shortestMicros());
+        times.add(80_000);
+        assertEquals(40_000, times.shortestMicros());
+        times.add(2_000);
+        assertEquals(80_000, times.shortestMicros());
+        for (int i = 0; i < 16; i++) {
+            times.add(120_000);
+        }
+        assertEquals(120_000, times.shortestMicros());
+    }
+}
