A message is reported if another response follows the one that delivered it

Cause: a delivery was final, although the real response, coming on the idle connection after it, showed that it may have been a copy. The lag that this shows widens the copy window. Left: what followed the delivery, as the next call on the same connection.

--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -21,6 +21,8 @@
         STRAY_ANSWERS,
         /** Answers that may be a second copy of an earlier one on their connection, and do not count therefore. */
         ANSWERS_DOUBTFUL,
+        /** Messages that are reported although they were counted as delivered, since another answer followed the one that said so. */
+        DELIVERIES_UNCERTAIN,
         /** Calls with notices that failed or were not answered in time, and notices answered only after their deadline. */
         NOTICES_UNANSWERED, NOTICES_LATE,
         /** Reasons for which requests were refused before they were admitted. */
--- a/src/main/java/terndyke/node/http/Call.java
+++ b/src/main/java/terndyke/node/http/Call.java
@@ -42,5 +42,11 @@
     /** Called once, on the I/O thread, with the result of a call. */
     public interface ResultListener {
         void onResult(Result result);
+
+        /**
+         * Called on the I/O thread if another response than the one that delivered the call came on its connection while that was
+         * idle. The first one may have been a copy of an earlier response, and this one the response to the call.
+         */
+        default void onDeliveryContradicted() { }
     }
 }
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -54,6 +54,7 @@
 public final class ConnectionPool {
     private static final int MAX_WRITE_BYTES = 64 << 10; // of a request's body, between two checks of its start deadline
     private static final int STRAY_INPUT_LOG_BYTES = 64;
+    private static final String STATUS_LINE_PREFIX = "HTTP/1.1 ";
 
     private final Reactor reactor;
     private final Limits limits;
@@ -152,6 +153,8 @@
                 limits.maxResponseCopyWindowMicros());
         private volatile int lastStatus; // of the last response
         private volatile long lastResponseAt; // when the last response was complete, on System.nanoTime(), in microseconds
+        private long previousResponseAt; // when the one before it was complete
+        private Call.ResultListener lastDelivery; // of the last call, if an earlier response could be taken for its own; or null
         private volatile IOSession session;
         private volatile HttpConnection httpConnection;
         private volatile boolean discarded;
@@ -239,15 +242,24 @@
                 if (session.read(firstBytes) > 0) {
                     String text = new String(firstBytes.array(), 0, firstBytes.position(), StandardCharsets.ISO_8859_1);
                     reportStrayInput(text);
-                    if (text.startsWith("HTTP/1.1 " + lastStatus)) {
-                        copyWindow.addObservedLag(System.nanoTime() / 1000 - lastResponseAt);
-                    }
+                    interpretStrayInput(text);
                 }
             } catch (IOException e) {
                 // a reset: nothing has arrived
             }
         }
 
+        /** A response with the status of the last one is its copy. Another one shows that the last one may have been a copy. */
+        private void interpretStrayInput(String text) {
+            if (text.startsWith(STATUS_LINE_PREFIX + lastStatus)) {
+                copyWindow.addObservedLag(System.nanoTime() / 1000 - lastResponseAt);
+            } else if (text.startsWith(STATUS_LINE_PREFIX) && lastDelivery != null) {
+                copyWindow.addObservedLag(lastResponseAt - previousResponseAt);
+                lastDelivery.onDeliveryContradicted();
+                lastDelivery = null;
+            }
+        }
+
         private void reportStrayInput(String firstBytes) {
             counters.add(Counter.STRAY_ANSWERS);
             log.infoAboutRecord(describe() + " closed: bytes that belong to no call, "
@@ -603,6 +615,7 @@
         private void complete() {
             if (!completed) {
                 completed = true;
+                pooledConnection.previousResponseAt = pooledConnection.lastResponseAt;
                 pooledConnection.lastResponseAt = System.nanoTime() / 1000;
                 if (pooledConnection.session != null) {
                     pooledConnection.session.setSocketTimeout(Timeout.DISABLED); // the owner thread closes idle connections
@@ -723,6 +736,7 @@
             long now = System.nanoTime() / 1000;
             pooledConnection.responseHistory.add(status, now);
             pooledConnection.lastStatus = status;
+            pooledConnection.lastDelivery = isDone() && !pooledConnection.firstCall ? resultListener : null;
             if (isDone()) {
                 pooledConnection.peer.deliveryTimes.add(now - requestStartedAt);
             }
--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -219,6 +219,8 @@
             requestReceived.clientRequest().responder().refused(0);
         } else if (event instanceof LoopEvent.ShotCompleted shotCompleted) {
             sendStage.handleResult(shotCompleted);
+        } else if (event instanceof LoopEvent.DeliveryContradicted contradicted) {
+            notificationStage.reportUncertainDelivery(contradicted.trackedRecord(), contradicted.shot());
         }
     }
 
@@ -283,6 +285,8 @@
             }
         } else if (event instanceof LoopEvent.ShotCompleted shotCompleted) {
             sendStage.handleResult(shotCompleted);
+        } else if (event instanceof LoopEvent.DeliveryContradicted contradicted) {
+            notificationStage.reportUncertainDelivery(contradicted.trackedRecord(), contradicted.shot());
         } else if (event instanceof LoopEvent.ConnectionReleased connectionReleased) {
             connectionPool.release(connectionReleased.connection(), now);
         } else if (event instanceof LoopEvent.ProbeCompleted probeCompleted) {
--- a/src/main/java/terndyke/node/stage/LoopEvent.java
+++ b/src/main/java/terndyke/node/stage/LoopEvent.java
@@ -20,6 +20,9 @@
     record ShotCompleted(TrackedRecord trackedRecord, TrackedRecord.Shot shot, long endpointNumber, Call.Result result,
             long completedAt) implements LoopEvent { }
 
+    /** The response that delivered a record may have been a copy of an earlier one, as another response followed it. */
+    record DeliveryContradicted(TrackedRecord trackedRecord, TrackedRecord.Shot shot) implements LoopEvent { }
+
     /** A probe completed. */
     record ProbeCompleted(SendStage.PendingProbe pendingProbe, Call.Result result, long completedAt) implements LoopEvent { }
 
--- a/src/main/java/terndyke/node/stage/NotificationStage.java
+++ b/src/main/java/terndyke/node/stage/NotificationStage.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 
+import terndyke.api.Ending;
 import terndyke.api.Event;
 import terndyke.node.Counters;
 import terndyke.node.Counters.Counter;
@@ -95,6 +96,24 @@
         }
     }
 
+    /**
+     * Reports a record that was counted as delivered by a response that may not have been its own. If it was delivered after all,
+     * the notice does no harm: the record is over.
+     */
+    void reportUncertainDelivery(TrackedRecord record, TrackedRecord.Shot shot) {
+        shot.ending = Ending.RESET;
+        boolean deliveredOtherwise = record.shots.stream().anyMatch(other -> other.ending == Ending.DONE);
+        if (record.outcome != JournalEntry.RecordOutcome.DONE || deliveredOtherwise) {
+            return;
+        }
+        recordStore.terminateDelivered(record);
+        counters.add(Counter.DELIVERIES_UNCERTAIN);
+        record.endedAt = decisionLoop.now();
+        pendingNotices.add(record);
+        log.infoAboutRecord("message " + record.entry.id() + " reported after its delivery at " + shot.endpointUid
+                + ": another response followed, so that the first may have been a copy");
+    }
+
     private static String describeShots(TrackedRecord record) {
         return record.shots.stream().map(shot -> shot.endpointUid + " " + (shot.ending == null ? "in flight" : shot.ending))
                 .collect(Collectors.joining(", "));
--- a/src/main/java/terndyke/node/stage/RecordStore.java
+++ b/src/main/java/terndyke/node/stage/RecordStore.java
@@ -62,6 +62,10 @@
                         .forEach(shot -> shot.ending = shotEnded.ending());
             } else if (entry instanceof JournalEntry.RecordEnded recordEnded && record.outcome == null) {
                 applyEnd(record, recordEnded.outcome(), recordEnded.retryAfter());
+            } else if (entry instanceof JournalEntry.RecordEnded recordEnded
+                    && record.outcome == JournalEntry.RecordOutcome.DONE
+                    && recordEnded.outcome() == JournalEntry.RecordOutcome.TERMINATED) {
+                replaceDelivery(record);
             } else if (entry instanceof JournalEntry.NoticeAnswered) {
                 record.noticeSettled = true;
             }
@@ -156,6 +160,17 @@
         endedRecords.addLast(record);
     }
 
+    /** Ends a record that was counted as delivered anew, as terminated, so that a notice is due. */
+    void terminateDelivered(TrackedRecord record) {
+        appendEntry(new JournalEntry.RecordEnded(record.entry.number(), JournalEntry.RecordOutcome.TERMINATED, 0), 0);
+        replaceDelivery(record);
+    }
+
+    private static void replaceDelivery(TrackedRecord record) {
+        record.outcome = JournalEntry.RecordOutcome.TERMINATED;
+        record.noticeSettled = false;
+    }
+
     void settleNotice(TrackedRecord record) {
         record.noticeSettled = true;
         appendEntry(new JournalEntry.NoticeAnswered(record.entry.number()), 0);
--- a/src/main/java/terndyke/node/stage/SendStage.java
+++ b/src/main/java/terndyke/node/stage/SendStage.java
@@ -77,8 +77,7 @@
         long openedBefore = log.isTracing() ? counters.get(Counter.CONNECTIONS_OPENED) : 0;
         shot.connection = connectionPool.startCall(endpoint.peer(),
                 buildCall(record, endpoint.peer(), deadline - now, action.startBy()), now, decisionLoop.eventsHandledUntil(),
-                result -> decisionLoop.post(new LoopEvent.ShotCompleted(record, shot, endpointNumber, result,
-                        decisionLoop.now())));
+                new ShotListener(record, shot, endpointNumber));
         if (shot.connection == null) {
             complete(record, shot, endpointNumber, Ending.NOT_SENT, now, 0, true, NO_REPORT);
         } else {
@@ -91,6 +90,29 @@
         }
     }
 
+    /** Posts what becomes of a shot's call to the decision thread. */
+    private final class ShotListener implements Call.ResultListener {
+        private final TrackedRecord record;
+        private final TrackedRecord.Shot shot;
+        private final long endpointNumber;
+
+        private ShotListener(TrackedRecord record, TrackedRecord.Shot shot, long endpointNumber) {
+            this.record = record;
+            this.shot = shot;
+            this.endpointNumber = endpointNumber;
+        }
+
+        @Override
+        public void onResult(Call.Result result) {
+            decisionLoop.post(new LoopEvent.ShotCompleted(record, shot, endpointNumber, result, decisionLoop.now()));
+        }
+
+        @Override
+        public void onDeliveryContradicted() {
+            decisionLoop.post(new LoopEvent.DeliveryContradicted(record, shot));
+        }
+    }
+
     private static Call buildCall(TrackedRecord record, ConnectionPool.Peer peer, long timeoutMicros, long startBy) {
         List<String> headers = new ArrayList<>(List.of("Host", peer.hostHeader(), "Request-Id", record.entry.id()));
         if (record.entry.idempotencyKey() != null) {
--- a/src/test/java/terndyke/node/stage/StageTest.java
+++ b/src/test/java/terndyke/node/stage/StageTest.java
@@ -211,6 +211,17 @@
         assertEquals(kept.entry.id(), reopenStore().findById("kept").entry.id());
     }
 
+    /** Guards against a message whose uncertain delivery is forgotten by a restart before its notice is answered. */
+    @Test
+    void anUncertainDeliveryIsStillToBeReportedAfterARestart() throws IOException {
+        TrackedRecord uncertain = addRecord("uncertain");
+        recordStore.endRecord(uncertain, JournalEntry.RecordOutcome.DONE, 0);
+        recordStore.terminateDelivered(uncertain);
+        TrackedRecord restored = reopenStore().findById("uncertain");
+        assertEquals(JournalEntry.RecordOutcome.TERMINATED, restored.outcome);
+        assertFalse(restored.noticeSettled);
+    }
+
     @Test
     void compactionIsTriedBeforeARecordIsRefused() {
         int admitted = 0;
