A 408 on an idle connection says nothing of the delivery before it

Found by reading; RFC 9110 lets a server send 408 without a request. Such a response no longer makes a delivery uncertain.

--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -25,6 +25,7 @@
 import org.apache.hc.core5.http.HttpConnection;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpResponse;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.BasicEntityDetails;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
@@ -249,11 +250,15 @@
             }
         }
 
-        /** A response with the status of the last one is its copy. Another one shows that the last one may have been a copy. */
+        /**
+         * A response with the status of the last one is its copy. Another one shows that the last one may have been a copy; only a
+         * 408 is sent by servers on their own, before they close an idle connection.
+         */
         private void interpretStrayInput(String text) {
             if (text.startsWith(STATUS_LINE_PREFIX + lastStatus)) {
                 copyWindow.addObservedLag(System.nanoTime() / 1000 - lastResponseAt);
-            } else if (text.startsWith(STATUS_LINE_PREFIX) && lastDelivery != null) {
+            } else if (text.startsWith(STATUS_LINE_PREFIX) && !text.startsWith(STATUS_LINE_PREFIX + HttpStatus.SC_REQUEST_TIMEOUT)
+                    && lastDelivery != null) {
                 copyWindow.addObservedLag(lastResponseAt - previousResponseAt);
                 lastDelivery.onDeliveryContradicted();
                 lastDelivery = null;
--- a/src/test/java/terndyke/node/http/ConnectionPoolTest.java
+++ b/src/test/java/terndyke/node/http/ConnectionPoolTest.java
@@ -168,6 +168,34 @@
         }
     }
 
+    /** Guards against deliveries reported as uncertain wherever a server closes idle connections with a 408. */
+    @ParameterizedTest
+    @CsvSource({"503, 1", "500, 1", "408, 0", "200, 0"})
+    void onlyAnotherResponseToACallMakesADeliveryUncertain(int status, int contradictions) throws Exception {
+        BlockingQueue<Call.Result> contradicted = new LinkedBlockingQueue<>();
+        try (Socket connection = deliverSlowly()) {
+            connectionPool.startCall(peer, new Call("POST", "/events", new String[] {"Content-Length", "7"}, BODY),
+                    limits.responseCopyWindowMicros(), new Call.ResultListener() {
+                @Override
+                public void onResult(Call.Result result) {
+                    results.add(result);
+                }
+
+                @Override
+                public void onDeliveryContradicted() {
+                    contradicted.add(results.remove());
+                }
+            });
+            readRequest(connection);
+            Thread.sleep(limits.responseCopyWindowMicros() / 1000 + 20);
+            sendResponse(connection, OK_RESPONSE);
+            connectionPool.release(releasedConnections.poll(30, TimeUnit.SECONDS), 0);
+            sendResponse(connection, "HTTP/1.1 " + status + " Late\r\nContent-Length: 0\r\n\r\n");
+            assertClosed(connection);
+            assertEquals(contradictions, contradicted.size());
+        }
+    }
+
     @Test
     void aConnectionClosedOnItsFirstCallWasRejectedAndOneClosedLaterWasNot() throws Exception {
         startCall(BODY, 0);
