The log names keys, and deliveries that come too early to be trusted

The log could not put a call beside the one before it of the same key, nor show a delivery that another response may have faked. Lines about attempts and ends of messages in order name their key, as traces of calls do. A delivery that comes before its request is written, or on a kept connection in less than half the time that the endpoint's deliveries take, is counted (deliveries_early) and logged with its time, the rest of its connection and the time since the response before it. No behaviour changes.

--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -55,6 +55,7 @@
 public final class ConnectionPool {
     private static final int MAX_WRITE_BYTES = 64 << 10; // of a request's body, between two checks of its start deadline
     private static final int STRAY_INPUT_LOG_BYTES = 64;
+    private static final int EARLY_DELIVERY_DIVISOR = 2; // a delivery in less than this part of the shortest time is early
     private static final String STATUS_LINE_PREFIX = "HTTP/1.1 ";
 
     private final Reactor reactor;
@@ -583,6 +584,25 @@
                     && pooledConnection.responseHistory.mayBeCopy(newStatus, System.nanoTime() / 1000)) {
                 defect = ResponseDefect.POSSIBLE_COPY;
             }
+            if (isDone()) {
+                logIfEarly();
+            }
+        }
+
+        /** Logs a delivery that came before the request was written, or much sooner than the endpoint's others. */
+        private void logIfEarly() {
+            long now = System.nanoTime() / 1000;
+            long elapsedMicros = now - requestStartedAt;
+            long shortestMicros = pooledConnection.peer.deliveryTimes.shortestMicros();
+            boolean written = pooledConnection.isRequestWritten();
+            if (written && (pooledConnection.firstCall || elapsedMicros >= shortestMicros / EARLY_DELIVERY_DIVISOR)) {
+                return;
+            }
+            counters.add(Counter.DELIVERIES_EARLY);
+            log.infoAboutRecord(pooledConnection.describe() + ": status 200 " + elapsedMicros / 1000
+                    + " ms after the start of the request" + (written ? "" : ", which is not written to its end") + ", "
+                    + (now - pooledConnection.lastResponseAt) / 1000 + " ms after the response before it; its endpoint takes "
+                    + shortestMicros / 1000 + " ms or more for a delivery");
         }
 
         private boolean isDoubtful() {
--- a/src/main/java/terndyke/node/stage/NotificationStage.java
+++ b/src/main/java/terndyke/node/stage/NotificationStage.java
@@ -91,7 +91,7 @@
             if (outcome != JournalEntry.RecordOutcome.BOUNCED || !record.shots.isEmpty()) {
                 log.infoAboutRecord("message " + record.entry.id() + " ended " + outcome + ", "
                         + (record.entry.abandonAt() - record.endedAt) / 1000 + " ms before its abandon time, attempts: "
-                        + describeShots(record));
+                        + describeShots(record) + (record.entry.key() == 0 ? "" : ", key " + record.keyText()));
             }
         }
     }
@@ -110,8 +110,8 @@
         counters.add(Counter.DELIVERIES_UNCERTAIN);
         record.endedAt = decisionLoop.now();
         pendingNotices.add(record);
-        log.infoAboutRecord("message " + record.entry.id() + " reported after its delivery at " + shot.endpointUid
-                + ": another response followed, so that the first may have been a copy");
+        log.infoAboutRecord("message " + record.entry.id() + " of key " + record.keyText() + " reported after its delivery at "
+                + shot.endpointUid + ": another response followed, so that the first may have been a copy");
     }
 
     private static String describeShots(TrackedRecord record) {
--- a/src/main/java/terndyke/node/stage/SendStage.java
+++ b/src/main/java/terndyke/node/stage/SendStage.java
@@ -86,7 +86,7 @@
         if (log.isTracing()) {
             log.trace(now, "shot", record.entry.number(), shot.number, endpoint.uid(), endpoint.destination(),
                     counters.get(Counter.CONNECTIONS_OPENED) > openedBefore ? "new" : "kept",
-                    shot.connection == null ? "" : shot.connection.describe());
+                    shot.connection == null ? "" : shot.connection.describe(), "key " + record.keyText());
         }
     }
 
@@ -196,7 +196,7 @@
 
     private static String describeShot(TrackedRecord record, TrackedRecord.Shot shot, Ending ending, long completedAt) {
         return "attempt " + shot.number + " of " + record.entry.id() + " at " + shot.endpointUid + ": " + ending + " after "
-                + (completedAt - shot.firedAt) / 1000 + " ms"
+                + (completedAt - shot.firedAt) / 1000 + " ms" + (record.entry.key() == 0 ? "" : ", key " + record.keyText())
                 + (shot.connection == null ? "" : " on " + shot.connection.describe());
     }
 
--- a/src/main/java/terndyke/node/stage/TrackedRecord.java
+++ b/src/main/java/terndyke/node/stage/TrackedRecord.java
@@ -65,6 +65,11 @@
                 entry.destination(), null, entry.acceptedAt(), entry.abandonAt(), new byte[0]);
     }
 
+    /** The key as clients write it, for the log. */
+    String keyText() {
+        return String.format("%016x", entry.key());
+    }
+
     /** True while the record has no outcome. The journal must keep its body that long, as it may need another shot. */
     boolean isOpen() {
         return outcome == null;
