Failing test: a copy that is read late by a node held up frees the key

It is read after the 50 ms for which copies are expected, counts as the delivery, and the next message of the key is called while the first still runs. Nothing is lost and nothing runs twice: the real 200 comes later.

--- /dev/null
+++ b/src/test/java/terndyke/KeyOrderProcessTest.java
@@ -0,0 +1,140 @@
+package terndyke;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+import terndyke.CallRecorder.Message;
+import terndyke.RawServer.Request;
+import terndyke.RawServer.Response;
+
+/** Runs a node as a process and checks the order of the calls of one key, whatever happens to responses and to the process. */
+class KeyOrderProcessTest {
+    private static final long SERVICE_MILLIS = 300;
+    private static final long REST_MILLIS = 15; // of a connection between two calls
+    private static final long HOLD_UP_MILLIS = 120; // a node may be held up for 150 ms
+    private static final long MESSAGE_TIMEOUT_MILLIS = 4_000;
+    private static final Message EARLIER = new Message("other", 0);
+    private static final Message FIRST = new Message("key", 0);
+    private static final Message SECOND = new Message("key", 1);
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n";
+
+    private final CallRecorder calls = new CallRecorder();
+    private volatile TestNodeProcess node;
+
+    @TempDir
+    Path folder;
+
+    private static Response answerPlatform(Request request, String endpointAddress) {
+        if (request.path().equals("/v2/finals")) {
+            return Response.complete(NO_CONTENT);
+        }
+        return request.path().contains("after=") ? Response.NO_RESPONSE
+                : Response.json(TestNodeProcess.listJson(endpointAddress, 1));
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static Response answerSlowly() {
+        sleep(SERVICE_MILLIS);
+        return Response.complete(OK);
+    }
+
+    /** Sends the response to the call before a second time while the first message of the key is out, to a node that is held up. */
+    private final class CopyingProxy extends TcpProxy {
+        CopyingProxy(String serverAddress) throws IOException {
+            super(serverAddress);
+            start();
+        }
+
+        @Override
+        Relay createRelay(Socket client) throws IOException {
+            return new CopyingRelay(client);
+        }
+
+        private final class CopyingRelay extends Relay {
+            private volatile Message message;
+            private volatile byte[] lastResponse;
+
+            CopyingRelay(Socket client) throws IOException {
+                super(client);
+            }
+
+            @Override
+            void forwardRequest(byte[] bytes) throws IOException {
+                message = Message.of(bytes);
+                calls.begin(message);
+                sendToServer(bytes);
+                if (message.equals(FIRST) && lastResponse != null) {
+                    holdUpNodeDuring(() -> sendToClient(lastResponse));
+                }
+            }
+
+            @Override
+            void forwardResponse(byte[] bytes) throws IOException {
+                lastResponse = bytes;
+                calls.end(message, true);
+                sendToClient(bytes);
+            }
+        }
+    }
+
+    /** Sends bytes over a connection. */
+    private interface Sending {
+        void send() throws IOException;
+    }
+
+    private void holdUpNodeDuring(Sending sending) throws IOException {
+        try {
+            node.pause();
+            sending.send();
+            sleep(HOLD_UP_MILLIS);
+            node.resume();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void submitAndAwaitAnswer(Message message) throws Exception {
+        assertEquals("HTTP/1.1 202 Accepted", node.submit("order", message, 0, MESSAGE_TIMEOUT_MILLIS));
+        assertTrue(calls.awaitAnswer(message, MESSAGE_TIMEOUT_MILLIS), message.id() + " was not delivered");
+    }
+
+    /** Submits two messages of a key shortly after a message of another key was delivered, and waits until the last one is called. */
+    private void playTwoMessagesOfOneKey() throws Exception {
+        submitAndAwaitAnswer(EARLIER);
+        sleep(REST_MILLIS);
+        assertEquals("HTTP/1.1 202 Accepted", node.submit("order", FIRST, 0, MESSAGE_TIMEOUT_MILLIS));
+        assertEquals("HTTP/1.1 202 Accepted", node.submit("order", SECOND, 0, MESSAGE_TIMEOUT_MILLIS));
+        assertTrue(calls.awaitCall(SECOND, MESSAGE_TIMEOUT_MILLIS), "the second message was never called");
+    }
+
+    /** Guards against a key freed by a copy of an earlier response that came soon, but was read late by a node that was held up. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aCopyThatIsReadLateByANodeHeldUpDoesNotFreeTheKey() throws Exception {
+        try (RawServer endpoint = new RawServer(call -> answerSlowly());
+                CopyingProxy proxy = new CopyingProxy(endpoint.address());
+                RawServer platform = new RawServer(request -> answerPlatform(request, proxy.address()));
+                TestNodeProcess started = TestNodeProcess.startServing(folder, platform.address())) {
+            node = started;
+            playTwoMessagesOfOneKey();
+            assertEquals(List.of(), calls.breaches());
+        }
+    }
+}
--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -32,7 +32,9 @@
              "obligations":{"stopSendingWithin":2.0,"fallMultiple":2.0,"overloadFor":2.0,"coldShare":0.2,
                "cold":11.0,"keyQuiet":0.1,"answerSlack":0.02},
              "classes":[{"name":"status","target":1.5,"deadline":5.0,"semantics":"retryable","points":3.0},
-               {"name":"payment","target":2.5,"deadline":5.0,"semantics":"fragile","points":1.0}]}""";
+               {"name":"payment","target":2.5,"deadline":5.0,"semantics":"fragile","points":1.0},
+               {"name":"order","target":2.5,"deadline":5.0,"semantics":"fragile","serialByKey":true,"points":1.0},
+               {"name":"reading","target":2.5,"deadline":5.0,"semantics":"retryable","serialByKey":true,"points":1.0}]}""";
 
     private final Process process;
     private final BufferedReader log;
@@ -134,6 +136,14 @@
         return sendRaw(request, false).lines().findFirst().orElse("");
     }
 
+    /** Submits a message that is kept in order with the others of its key; returns the first line of the answer. */
+    String submit(String grade, CallRecorder.Message message, int destination, long timeoutMillis) throws IOException {
+        String request = "POST /" + grade + " HTTP/1.1\r\nHost: n0\r\nRequest-Id: " + message.id() + "\r\nCookie: key="
+                + message.key() + "\r\nX-Consignee: dest=" + destination + "\r\nRequest-Timeout-Ms: " + timeoutMillis
+                + "\r\nContent-Length: 0\r\n\r\n";
+        return sendRaw(request, false).lines().findFirst().orElse("");
+    }
+
     /**
      * Sends bytes on a connection of its own and half-closes it afterwards if asked to. Returns the answer: up to the end of the
      * connection if it was half-closed, otherwise up to the end of the head.
