--- a/src/test/java/terndyke/KeyOrderProcessTest.java
+++ b/src/test/java/terndyke/KeyOrderProcessTest.java
@@ -21,6 +21,8 @@
     private static final long SERVICE_MILLIS = 300;
     private static final long REST_MILLIS = 15; // of a connection between two calls
     private static final long HOLD_UP_MILLIS = 120; // a node may be held up for 150 ms
+    private static final long END_LAG_MILLIS = 110; // from the end of a call at the node to its end at the endpoint
+    private static final long SHORT_TIMEOUT_MILLIS = 800; // of a message whose call is given up
     private static final long MESSAGE_TIMEOUT_MILLIS = 4_000;
     private static final Message EARLIER = new Message("other", 0);
     private static final Message FIRST = new Message("key", 0);
@@ -94,6 +96,46 @@
         }
     }
 
+    /** Lets the endpoint see the end of a call later than the node ended it. */
+    private final class LateEndProxy extends TcpProxy {
+        LateEndProxy(String serverAddress) throws IOException {
+            super(serverAddress);
+            start();
+        }
+
+        @Override
+        Relay createRelay(Socket client) throws IOException {
+            return new LateEndRelay(client);
+        }
+
+        private final class LateEndRelay extends Relay {
+            private volatile Message message;
+
+            LateEndRelay(Socket client) throws IOException {
+                super(client);
+            }
+
+            @Override
+            void forwardRequest(byte[] bytes) throws IOException {
+                message = Message.of(bytes);
+                calls.begin(message);
+                sendToServer(bytes);
+            }
+
+            @Override
+            void forwardResponse(byte[] bytes) throws IOException {
+                calls.end(message, true);
+                sendToClient(bytes);
+            }
+
+            @Override
+            void onClientEnd() throws InterruptedException {
+                Thread.sleep(END_LAG_MILLIS);
+                calls.end(message, false);
+            }
+        }
+    }
+
     /** Sends bytes over a connection. */
     private interface Sending {
         void send() throws IOException;
@@ -137,4 +179,24 @@
             assertEquals(List.of(), calls.breaches());
         }
     }
+
+    /**
+     * Guards against a key that rests from the moment at which the node gives a call up: where the node is held up just then, or
+     * the network is slow, the endpoint sees the end of the call later.
+     */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aKeyRestsFromTheTimeAtWhichTheEndpointSeesTheEndOfTheCall() throws Exception {
+        try (RawServer endpoint = new RawServer(call -> call.header("Request-Id").equals(FIRST.id()) ? Response.NO_RESPONSE
+                        : Response.complete(OK));
+                LateEndProxy proxy = new LateEndProxy(endpoint.address());
+                RawServer platform = new RawServer(request -> answerPlatform(request, proxy.address()));
+                TestNodeProcess started = TestNodeProcess.startServing(folder, platform.address())) {
+            assertEquals("HTTP/1.1 202 Accepted", started.submit("order", FIRST, 0, SHORT_TIMEOUT_MILLIS));
+            assertEquals("HTTP/1.1 202 Accepted", started.submit("order", SECOND, 0, MESSAGE_TIMEOUT_MILLIS));
+            assertTrue(calls.awaitCall(SECOND, MESSAGE_TIMEOUT_MILLIS), "the second message was never called");
+            sleep(2 * END_LAG_MILLIS);
+            assertEquals(List.of(), calls.breaches());
+        }
+    }
 }
--- a/src/test/java/terndyke/TcpProxy.java
+++ b/src/test/java/terndyke/TcpProxy.java
@@ -73,20 +73,23 @@
 
         abstract void forwardResponse(byte[] bytes) throws IOException, InterruptedException;
 
+        /** Called when the client has ended the connection, before the server's side is closed. */
+        void onClientEnd() throws InterruptedException { }
+
+        /** Called when the server has ended the connection, before the client's side is closed. */
+        void onServerEnd() throws InterruptedException { }
+
         private void start() {
-            startDaemon(() -> relay(client, this::forwardRequest));
-            startDaemon(() -> relay(server, this::forwardResponse));
+            startDaemon(() -> relay(client, this::forwardRequest, this::onClientEnd));
+            startDaemon(() -> relay(server, this::forwardResponse, this::onServerEnd));
         }
 
-        private void relay(Socket source, Forwarder forwarder) {
-            byte[] buffer = new byte[BUFFER_BYTES];
+        private void relay(Socket source, Forwarder forwarder, EndListener endListener) {
             try (client; server) {
-                InputStream in = source.getInputStream();
-                for (int length = in.read(buffer); length >= 0; length = in.read(buffer)) {
-                    forwarder.forward(Arrays.copyOf(buffer, length));
-                }
+                forwardAll(source, forwarder);
+                endListener.onEnd();
             } catch (IOException e) {
-                // either side has disconnected
+                // either side has been closed
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             } finally {
@@ -95,6 +98,23 @@
             }
         }
 
+        /** Forwards what the source sends until it ends the connection, in good order or by a reset. */
+        private void forwardAll(Socket source, Forwarder forwarder) throws IOException, InterruptedException {
+            byte[] buffer = new byte[BUFFER_BYTES];
+            InputStream in = source.getInputStream();
+            for (int length = readOrEnd(in, buffer); length >= 0; length = readOrEnd(in, buffer)) {
+                forwarder.forward(Arrays.copyOf(buffer, length));
+            }
+        }
+
+        private static int readOrEnd(InputStream in, byte[] buffer) {
+            try {
+                return in.read(buffer);
+            } catch (IOException e) {
+                return -1;
+            }
+        }
+
         final void sendToServer(byte[] bytes) throws IOException {
             server.getOutputStream().write(bytes);
         }
@@ -114,6 +134,11 @@
         }
     }
 
+    /** Is told that one side has ended the connection. */
+    private interface EndListener {
+        void onEnd() throws InterruptedException;
+    }
+
     /** Passes bytes on to the other side. */
     private interface Forwarder {
         void forward(byte[] bytes) throws IOException, InterruptedException;
