A response that is read after a hold-up of the process may be a copy that came sooner

Cause: a connection could not be used within 50 ms of its last response, so that nodes took older connections and opened new ones, and endpoints hold few.

Change: a connection may be used sooner again where its rest and the shortest delivery of its endpoint are 100 ms together. What its call then gets is doubted if it is read within these 100 ms, or if the process was held up since the request was written: HoldUpDetector sees that from the decision thread, which went on over 30 ms later than it wanted to. A stop of less than 50 ms is covered by the 50 ms. A copy that is found while a call waits to be written fails that call as not sent, which says nothing of the endpoint.

--- a/src/main/java/terndyke/node/WarmUp.java
+++ b/src/main/java/terndyke/node/WarmUp.java
@@ -74,7 +74,7 @@
         BlockingQueue<Call.Result> results = new LinkedBlockingQueue<>();
         BlockingQueue<ConnectionPool.PooledConnection> releasedConnections = new LinkedBlockingQueue<>();
         ConnectionPool connectionPool = new ConnectionPool(reactor, configuration.limits(), new Counters(), log, clock::now,
-                releasedConnections::add);
+                new HoldUpDetector(clock::now, Long.MAX_VALUE), releasedConnections::add);
         ConnectionPool.Peer peer = ConnectionPool.Peer.forOwnListener(listenAddress);
         Call call = new Call("GET", "/_health", new String[] {"Host", peer.hostHeader()}, new byte[0]);
         long deadlineNanos = System.nanoTime() + timeoutMicros * 1000;
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -44,6 +44,7 @@
 import terndyke.api.Ending;
 import terndyke.node.Counters;
 import terndyke.node.Counters.Counter;
+import terndyke.node.HoldUpDetector;
 import terndyke.node.Limits;
 import terndyke.node.NodeLog;
 
@@ -64,6 +65,7 @@
     private final NodeLog log;
     private final LongSupplier clock;
     private final CopyWindow copyWindow;
+    private final HoldUpDetector holdUpDetector;
     private final Consumer<PooledConnection> releaseListener;
     private final Map<Peer, Deque<PooledConnection>> idleConnections = new HashMap<>();
     private final Set<PooledConnection> busyConnections = new HashSet<>(); // with a call in progress
@@ -71,13 +73,14 @@
     private long lastConnectionNumber;
 
     public ConnectionPool(Reactor reactor, Limits limits, Counters counters, NodeLog log, LongSupplier clock,
-            Consumer<PooledConnection> releaseListener) {
+            HoldUpDetector holdUpDetector, Consumer<PooledConnection> releaseListener) {
         this.reactor = reactor;
         this.limits = limits;
         this.counters = counters;
         this.log = log;
         this.clock = clock;
         copyWindow = new CopyWindow(limits, () -> System.nanoTime() / 1000);
+        this.holdUpDetector = holdUpDetector;
         this.releaseListener = releaseListener;
     }
 
@@ -151,8 +154,8 @@
         private final long number = ++lastConnectionNumber;
         private int callCount = 1; // with the current call
         private long restMicros; // between the connection's release after the call before and the start of the current call
-        private final ResponseHistory responseHistory = new ResponseHistory(copyWindow,
-                limits.maxResponseCopyWindowMicros());
+        private final ResponseHistory responseHistory = new ResponseHistory(copyWindow, holdUpDetector,
+                limits);
         private volatile int lastStatus; // of the last response
         private volatile long lastResponseAt; // when the last response was complete, on System.nanoTime(), in microseconds
         private long previousResponseAt; // when the one before it was complete
@@ -209,10 +212,10 @@
             Exchange currentExchange = exchange;
             readingInput = currentExchange != null && currentExchange.requestStarted && !currentExchange.completed;
             if (!readingInput) {
-                inspectStrayInput();
+                boolean strayBytes = inspectStrayInput();
                 session.close(CloseMode.IMMEDIATE);
                 if (currentExchange != null && !currentExchange.completed) {
-                    currentExchange.failed(null); // its request has not been started
+                    currentExchange.failBeforeStart(strayBytes);
                 }
             }
             return readingInput;
@@ -237,18 +240,20 @@
             return allowed;
         }
 
-        /** Counts and logs bytes that belong to no call; the end of the input alone is no stray input. */
-        private void inspectStrayInput() {
+        /** Counts and logs bytes that belong to no call, and returns true if there are any: the end of the input alone is none. */
+        private boolean inspectStrayInput() {
             ByteBuffer firstBytes = ByteBuffer.allocate(STRAY_INPUT_LOG_BYTES);
             try {
                 if (session.read(firstBytes) > 0) {
                     String text = new String(firstBytes.array(), 0, firstBytes.position(), StandardCharsets.ISO_8859_1);
                     reportStrayInput(text);
                     interpretStrayInput(text);
+                    return true;
                 }
             } catch (IOException e) {
                 // a reset: nothing has arrived
             }
+            return false;
         }
 
         /**
@@ -327,8 +332,8 @@
     public PooledConnection startCall(Peer peer, Call call, long now, long inputKnownUntil,
             Call.ResultListener resultListener) {
         Deque<PooledConnection> idle = idleConnections.getOrDefault(peer, new ArrayDeque<>(0));
-        for (PooledConnection connection = takeIdleConnection(idle, now); connection != null;
-                connection = takeIdleConnection(idle, now)) {
+        for (PooledConnection connection = takeIdleConnection(idle, call, now); connection != null;
+                connection = takeIdleConnection(idle, call, now)) {
             if (connection.isUsable() && now - connection.idleSince < limits.idleConnectionTimeoutMicros()) {
                 connection.firstCall = false; // ordered before the write of the volatile exchange below
                 connection.callCount++;
@@ -372,10 +377,10 @@
     }
 
     /** Takes the most recently used idle connection on which no copy of an earlier response is expected any more; null if none. */
-    private PooledConnection takeIdleConnection(Deque<PooledConnection> idle, long now) {
+    private PooledConnection takeIdleConnection(Deque<PooledConnection> idle, Call call, long now) {
         for (Iterator<PooledConnection> newestFirst = idle.descendingIterator(); newestFirst.hasNext();) {
             PooledConnection connection = newestFirst.next();
-            if (isResponseUnmistakable(connection, now)) {
+            if (isResponseUnmistakable(connection, call, now)) {
                 newestFirst.remove();
                 return connection;
             }
@@ -384,11 +389,16 @@
     }
 
     /**
-     * True once the connection has rested for as long as copies of an earlier response are expected. Those that have arrived by
-     * then are read before the next request is written, however late the node reads them.
+     * True once the connection has rested for as long as copies of an earlier response are expected: those that have arrived by
+     * then are read before the next request is written, however late the node reads them. After a delivery also true if a copy would
+     * be read before the endpoint is likely to deliver again; what the node reads after a hold-up is then doubted.
      */
-    private boolean isResponseUnmistakable(PooledConnection connection, long now) {
-        return connection.peer.connectionReuse == ConnectionReuse.ALWAYS || now - connection.idleSince >= copyWindow.micros();
+    private boolean isResponseUnmistakable(PooledConnection connection, Call call, long now) {
+        long restMicros = now - connection.idleSince;
+        boolean deliveriesOnly = connection.lastStatus == HttpStatus.SC_OK && !call.method().equals("GET");
+        return connection.peer.connectionReuse == ConnectionReuse.ALWAYS || restMicros >= copyWindow.micros()
+                || deliveriesOnly && restMicros + connection.peer.deliveryTimes.shortestMicros()
+                        >= copyWindow.micros() + limits.undetectedHoldUpMicros();
     }
 
     /**
@@ -568,7 +578,7 @@
             status = newStatus;
             retryAfterMicros = 0;
             if (pooledConnection.peer.connectionReuse != ConnectionReuse.ALWAYS
-                    && pooledConnection.responseHistory.mayBeCopy(newStatus, System.nanoTime() / 1000)) {
+                    && pooledConnection.responseHistory.mayBeCopy(newStatus, requestStartedAt, System.nanoTime() / 1000)) {
                 defect = ResponseDefect.POSSIBLE_COPY;
             }
             if (isDone()) {
@@ -816,6 +826,14 @@
             complete();
         }
 
+        /** Its connection is lost before the request was started; stray bytes are the reason why, and say nothing of the endpoint. */
+        void failBeforeStart(boolean strayBytes) {
+            if (strayBytes) {
+                deliverResult(Call.Result.withoutResponse(Ending.NOT_SENT));
+            }
+            failed(null);
+        }
+
         /** How an incomplete response falls short, from how much of it was read. */
         private ResponseDefect classifyDefect(Exception cause) {
             if (defect != ResponseDefect.NONE) {
--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -17,6 +17,7 @@
 import terndyke.node.NodeConfiguration;
 import terndyke.node.Counters;
 import terndyke.node.Counters.Counter;
+import terndyke.node.HoldUpDetector;
 import terndyke.node.Limits;
 import terndyke.node.NodeClock;
 import terndyke.node.NodeLog;
@@ -55,6 +56,7 @@
     private final EndpointRegistry endpointRegistry;
     private final Watch watch;
     private final SlowTurnDetector slowTurnDetector;
+    private final HoldUpDetector holdUpDetector;
     private final long keyQuietMicros;
     private final int gradeCount;
     private long nextSweepAt;
@@ -83,7 +85,8 @@
         this.keyQuietMicros = configuration.deliverySettings().keyQuietPeriod();
         this.gradeCount = configuration.deliverySettings().grades().size();
         slowTurnDetector = new SlowTurnDetector(limits.slowTurnThresholdMicros(), limits.slowTurnLogIntervalMicros(), counters);
-        connectionPool = new ConnectionPool(reactor, limits, counters, log, clock::now,
+        holdUpDetector = new HoldUpDetector(() -> System.nanoTime() / 1000, limits.holdUpToleranceMicros());
+        connectionPool = new ConnectionPool(reactor, limits, counters, log, clock::now, holdUpDetector,
                 connection -> post(new LoopEvent.ConnectionReleased(connection)));
         decisionStage = new DecisionStage(new Dispatcher(configuration.deliverySettings()));
         intakeStage = new IntakeStage(recordStore.lastRecordNumber());
@@ -228,8 +231,10 @@
         long now = now();
         long wakeUpAt = Math.min(timers.nextDueAt(now + limits.maxPollWaitMicros()), watch.dueAt());
         beginOnceDiscoveryResolved(now);
-        LoopEvent event = eventQueue.poll(decisionStage.hasPendingEvents() && isDiscoveryResolved() ? 0
-                : Math.max(0, wakeUpAt - now), TimeUnit.MICROSECONDS);
+        long maxWaitMicros = decisionStage.hasPendingEvents() && isDiscoveryResolved() ? 0 : Math.max(0, wakeUpAt - now);
+        holdUpDetector.beginWait(maxWaitMicros);
+        LoopEvent event = eventQueue.poll(maxWaitMicros, TimeUnit.MICROSECONDS);
+        holdUpDetector.endWait();
         now = now();
         eventsHandledUntil = now;
         slowTurnDetector.beginTurn(now);
--- a/src/test/java/terndyke/CallRecorder.java
+++ b/src/test/java/terndyke/CallRecorder.java
@@ -32,6 +32,11 @@
             return matcher.find() ? new Message(matcher.group(1), Integer.parseInt(matcher.group(2))) : null;
         }
 
+        static Message ofId(String id) {
+            int dash = id.lastIndexOf('-');
+            return new Message(id.substring(0, dash), Integer.parseInt(id.substring(dash + 1)));
+        }
+
         String id() {
             return key + "-" + number;
         }
--- a/src/test/java/terndyke/KeyOrderProcessTest.java
+++ b/src/test/java/terndyke/KeyOrderProcessTest.java
@@ -93,6 +93,11 @@
                 calls.end(message, true);
                 sendToClient(bytes);
             }
+
+            @Override
+            void onClientEnd() {
+                calls.end(message, false);
+            }
         }
     }
 
--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -97,6 +97,21 @@
         assertTrue(line != null, "the log ended without the text: " + text);
     }
 
+    /** Waits until the node has counted as many deliveries. */
+    void awaitDeliveries(int count) throws IOException, InterruptedException {
+        long deadline = System.nanoTime() + TIMEOUT_MILLIS * 1_000_000L;
+        while (deliveries() < count) {
+            assertTrue(System.nanoTime() < deadline, "the node has not counted " + count + " deliveries");
+            Thread.sleep(10);
+        }
+    }
+
+    private int deliveries() throws IOException {
+        String counters = sendRaw("GET /_counters HTTP/1.1\r\nHost: n0\r\nConnection: close\r\n\r\n", true);
+        Matcher matcher = Pattern.compile("(?m)^ended_done (\\d+)$").matcher(counters);
+        return matcher.find() ? Integer.parseInt(matcher.group(1)) : 0;
+    }
+
     void sendHangup() throws IOException, InterruptedException {
         sendSignal("HUP");
     }
