A key rests from the time at which the endpoint sees the end of a call

Cause: the rest was counted on the node's clock from the moment at which the decision thread gave the call up.

Why it works: the rest is longer by the 150 ms for which a node may be held up between its clock and a write. The time that closes take is in longest_close, late ones are logged.

--- a/src/main/java/terndyke/api/Event.java
+++ b/src/main/java/terndyke/api/Event.java
@@ -25,6 +25,12 @@
     record ShotEnded(long id, int shotIndex, long endpoint, Ending ending, long elapsed, long retryAfter, boolean noFreeSlot,
             boolean recordEnded, float[] loadReport) implements Event { }
 
+    /**
+     * The connection of a shot that the node gave up was closed only now, long after its {@link ShotEnded}: until now the shot may
+     * have run.
+     */
+    record CallClosedLate(long key) implements Event { }
+
     /** The response to a shot has started to arrive. */
     record ResponseStarted(long id, int shotIndex, long endpoint, long elapsed) implements Event { }
 
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -96,6 +96,8 @@
             checkConnectionLimit(route, probe.ending());
         } else if (event instanceof Event.FinalAnswerDelivered delivered && undeliveredAnswers.containsKey(delivered.id())) {
             undeliveredAnswers.remove(delivered.id()).outstandingCount--;
+        } else if (event instanceof Event.CallClosedLate closed && keyQueues.containsKey(closed.key())) {
+            keyQueues.get(closed.key()).restUntil(now + settings.keyQuietPeriod() + 1);
         } else if (event instanceof Event.NodeShuttingDown shutdown) {
             shutdownAt = now + shutdown.gracePeriod();
         } else if (event instanceof Event.RecordWithdrawn withdrawn && recordsById.containsKey(withdrawn.id())) {
@@ -233,7 +235,7 @@
         shot.ending = ended.ending();
         record.inFlightShotCount--;
         handleCallEnded(shot, ended);
-        record.keyQueue.shotEnded(record, ended.ending(), now, settings.keyQuietPeriod());
+        record.keyQueue.shotEnded(record, ended.ending(), now, settings.keyQuietPeriod() + PendingRecord.MAX_HOLD_UP_MICROS);
         if (record.ended) {
             recordsById.remove(record.id, record.inFlightShotCount == 0 ? record : null);
         } else if (ended.recordEnded()) {
--- a/src/main/java/terndyke/decision/PendingRecord.java
+++ b/src/main/java/terndyke/decision/PendingRecord.java
@@ -10,7 +10,7 @@
  * answers rules 1, 2 and 5 permit. Times are microseconds.
  */
 final class PendingRecord {
-    private static final long MAX_HOLD_UP_MICROS = 150_000; // a node may be stopped so long between its clock and a write
+    static final long MAX_HOLD_UP_MICROS = 150_000; // a node may be stopped so long between its clock and a write
 
     final long id, targetAt, abandonAt;
     final ServiceGrade grade;
@@ -88,7 +88,10 @@
     static final class KeyQueue {
         final ArrayDeque<PendingRecord> records = new ArrayDeque<>();
         int outstandingCount; // of ended records: shots still out, and final answers not delivered yet
-        /** After a shot that may still run, no other record of the key is sent for a while. */
+        /**
+         * After a shot that may still run, no other record of the key is sent for a while. The endpoint may see the end of the shot
+         * later than this node by as long as a node may be held up.
+         */
         private long quietUntil;
         private PendingRecord quietAfterRecord;
 
@@ -112,6 +115,11 @@
                 quietAfterRecord = record;
             }
         }
+
+        /** A call of this key was closed later than its end was reported: the key rests at least until the given time. */
+        void restUntil(long time) {
+            quietUntil = Math.max(quietUntil, time);
+        }
     }
 
     /** One call to an endpoint. It takes one slot, and all records that it carries share its outcome. */
--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -32,7 +32,9 @@
         /** In microseconds: the longest turn of the decision thread, and the longest wait of a request for a turn. */
         LONGEST_TURN, LONGEST_WAIT,
         /** In microseconds: the longest time between a record's end and the platform's answer to its notice. */
-        LONGEST_NOTICE
+        LONGEST_NOTICE,
+        /** In microseconds: the longest time from giving a call up until its connection was closed. */
+        LONGEST_CLOSE
     }
 
     private final Map<Counter, AtomicLong> counts = new EnumMap<>(Counter.class);
--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -294,6 +294,7 @@
             notificationStage.reportUncertainDelivery(contradicted.trackedRecord(), contradicted.shot());
         } else if (event instanceof LoopEvent.ConnectionReleased connectionReleased) {
             connectionPool.release(connectionReleased.connection(), now);
+            sendStage.handleConnectionReleased(connectionReleased.connection());
         } else if (event instanceof LoopEvent.ProbeCompleted probeCompleted) {
             sendStage.handleResult(probeCompleted);
         } else if (event instanceof LoopEvent.NoticeCallCompleted noticeCallCompleted) {
--- a/src/main/java/terndyke/node/stage/SendStage.java
+++ b/src/main/java/terndyke/node/stage/SendStage.java
@@ -1,7 +1,9 @@
 package terndyke.node.stage;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 import terndyke.api.Action;
 import terndyke.api.Ending;
@@ -31,6 +33,7 @@
     private final List<String> reportFields;
     private final NodeLog log;
     private final DecisionLoop decisionLoop;
+    private final Map<ConnectionPool.PooledConnection, CancelledCall> cancelledCalls; // whose connections are not closed yet
     private int probesInFlight;
 
     public SendStage(Limits limits, Counters counters, EndpointRegistry endpointRegistry, ConnectionPool connectionPool,
@@ -46,6 +49,12 @@
         this.reportFields = reportFields;
         this.log = log;
         this.decisionLoop = decisionLoop;
+        cancelledCalls = new LinkedHashMap<>() {
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<ConnectionPool.PooledConnection, CancelledCall> eldest) {
+                return size() > limits.maxEndpointConnections();
+            }
+        };
     }
 
     /** Journals a shot and starts its call. A shot that cannot be sent is reported as NOT_SENT. */
@@ -139,10 +148,31 @@
             if (record.isOpen()) {
                 log.infoAboutRecord(describeShot(record, shot, actualEnding, decisionLoop.now()));
             }
+            cancelledCalls.put(shot.connection, new CancelledCall(record.entry.key(), decisionLoop.now()));
             complete(record, shot, endpointNumber, actualEnding, decisionLoop.now(), 0, false, NO_REPORT);
         }
     }
 
+    /** A call that was given up, and the key of its record. */
+    private record CancelledCall(long key, long cancelledAt) { }
+
+    /**
+     * Handles the close of a connection, which is the work of the I/O thread. The call on it that was given up may have run until
+     * now; if that took long, the dispatcher has to know, so that the key rests from now on.
+     */
+    void handleConnectionReleased(ConnectionPool.PooledConnection connection) {
+        CancelledCall cancelled = cancelledCalls.remove(connection);
+        if (cancelled == null) {
+            return;
+        }
+        long closeMicros = decisionLoop.now() - cancelled.cancelledAt();
+        counters.recordMaximum(Counter.LONGEST_CLOSE, closeMicros);
+        if (closeMicros >= limits.lateCloseThresholdMicros() && cancelled.key() != 0) {
+            log.warn(connection.describe() + " closed " + closeMicros / 1000 + " ms after its call was given up");
+            decisionStage.addEvent(new Event.CallClosedLate(cancelled.key()));
+        }
+    }
+
     /** Handles the result of a shot's call. */
     void handleResult(LoopEvent.ShotCompleted shotCompleted) {
         if (shotCompleted.shot().ending == null) {
