--- /dev/null
+++ b/src/test/java/terndyke/KeyOrderRestartProcessTest.java
@@ -0,0 +1,61 @@
+package terndyke;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+import terndyke.CallRecorder.Message;
+import terndyke.RawServer.Request;
+import terndyke.RawServer.Response;
+
+/** Kills a node process and starts it again, and checks how the messages of one key go on. */
+class KeyOrderRestartProcessTest {
+    private static final long MESSAGE_TIMEOUT_MILLIS = 4_000;
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n";
+
+    private final CallRecorder calls = new CallRecorder();
+
+    @TempDir
+    Path folder;
+
+    private static Response answerPlatform(Request request, String endpointAddress) {
+        if (request.path().equals("/v2/finals")) {
+            return Response.complete(NO_CONTENT);
+        }
+        return request.path().contains("after=") ? Response.NO_RESPONSE
+                : Response.json(TestNodeProcess.listJson(endpointAddress, 1));
+    }
+
+    private Response answerEvent(Request call) {
+        Message message = Message.ofId(call.header("Request-Id"));
+        calls.begin(message);
+        calls.end(message, true);
+        return Response.complete(OK);
+    }
+
+    /** Guards against a key blocked for good by the delivered messages that a restarted node finds in its journal. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aMessageDeliveredBeforeARestartDoesNotBlockItsKeyAfterIt() throws Exception {
+        Message delivered = new Message("key", 0);
+        Message next = new Message("key", 1);
+        try (RawServer endpoint = new RawServer(this::answerEvent);
+                RawServer platform = new RawServer(request -> answerPlatform(request, endpoint.address()))) {
+            try (TestNodeProcess killed = TestNodeProcess.startServing(folder, platform.address())) {
+                assertEquals("HTTP/1.1 202 Accepted", killed.submit("order", delivered, 0, MESSAGE_TIMEOUT_MILLIS));
+                assertTrue(calls.awaitAnswer(delivered, MESSAGE_TIMEOUT_MILLIS));
+                killed.awaitDeliveries(1);
+            }
+            try (TestNodeProcess restarted = TestNodeProcess.startServing(folder, platform.address())) {
+                assertEquals("HTTP/1.1 202 Accepted", restarted.submit("order", next, 0, MESSAGE_TIMEOUT_MILLIS));
+                assertTrue(calls.awaitAnswer(next, MESSAGE_TIMEOUT_MILLIS), "the next message of the key was never called");
+            }
+        }
+    }
+}
