A delivered message of the previous run does not block its key

The shot that delivered a record has no entry of its own, so the next run took it for one that may still run and restored the record with it. And for such a record FinalAnswerDelivered was told before RecordRestored, whose answer the key then waited for without end. The same wait without end arose where the dispatcher ended a record that had ended by itself in the same turn (a client gone, a 200 behind the events), by reading.

Why it works: the only shot without an ending of a delivered record is the one that delivered it. Where others are unknown, the answer is told behind the record. An end that is asked for a record that needs no notice is answered to the dispatcher at once. Also, an ended record of a grade that the configuration has no more gets its notice again after a restart; it was passed over.

--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -151,15 +151,15 @@
         decisionStage.addEvent(knownList);
         for (TrackedRecord record : List.copyOf(records)) {
             counters.add(Counter.RESTORED, record.noticeSettled ? 0 : 1);
-            if (record.entry.grade() >= gradeCount) {
-                log.warn("journal: record has an unknown service grade, terminated without delivery");
-                notificationStage.endRecord(record, JournalEntry.RecordOutcome.TERMINATED, 0);
-                continue;
-            }
-            restoredRecords.add(record);
             if (!record.isOpen()) {
                 notificationStage.restore(record);
             }
+            if (record.entry.grade() < gradeCount) {
+                restoredRecords.add(record);
+            } else if (record.isOpen()) {
+                log.warn("journal: record has an unknown service grade, terminated without delivery");
+                notificationStage.endRecord(record, JournalEntry.RecordOutcome.TERMINATED, 0);
+            }
         }
         notificationStage.sendPendingNotices(now());
     }
@@ -424,16 +424,25 @@
         recordStore.clearReservations();
     }
 
+    /** Ends a record. One that is not held any more has its answer, and the dispatcher must not wait for it. */
+    private void endRecord(long number, JournalEntry.RecordOutcome outcome, long retryAfterMicros) {
+        TrackedRecord record = recordStore.findByNumber(number);
+        if (record == null) {
+            decisionStage.addEvent(new Event.FinalAnswerDelivered(number));
+        } else {
+            notificationStage.endRecord(record, outcome, retryAfterMicros);
+        }
+    }
+
     private void performAction(Action action, long now) {
         if (action instanceof Action.SendShot sendShot) {
             sendStage.sendShot(recordStore.findByNumber(sendShot.id()), sendShot, now);
         } else if (action instanceof Action.Recall recall && recordStore.findByNumber(recall.id()) != null) {
             sendStage.recallShot(recordStore.findByNumber(recall.id()), recall.shotIndex());
-        } else if (action instanceof Action.Bounce bounce && recordStore.findByNumber(bounce.id()) != null) {
-            notificationStage.endRecord(recordStore.findByNumber(bounce.id()), JournalEntry.RecordOutcome.BOUNCED,
-                    bounce.retryAfter());
-        } else if (action instanceof Action.Terminate terminate && recordStore.findByNumber(terminate.id()) != null) {
-            notificationStage.endRecord(recordStore.findByNumber(terminate.id()), JournalEntry.RecordOutcome.TERMINATED, 0);
+        } else if (action instanceof Action.Bounce bounce) {
+            endRecord(bounce.id(), JournalEntry.RecordOutcome.BOUNCED, bounce.retryAfter());
+        } else if (action instanceof Action.Terminate terminate) {
+            endRecord(terminate.id(), JournalEntry.RecordOutcome.TERMINATED, 0);
         } else if (action instanceof Action.StartTimer startTimer) {
             timers.schedule(now + startTimer.delay(), () -> decisionStage.addEvent(new Event.TimerExpired(startTimer.token())));
         } else if (action instanceof Action.Probe probe) {
--- a/src/main/java/terndyke/node/stage/NotificationStage.java
+++ b/src/main/java/terndyke/node/stage/NotificationStage.java
@@ -80,9 +80,14 @@
         return responder;
     }
 
-    /** Journals the end of an accepted record and queues the notice to the platform. */
+    /**
+     * Journals the end of an accepted record and queues the notice to the platform. A record that has ended meanwhile without a
+     * need for a notice gets none: the dispatcher hears at once that no answer is outstanding.
+     */
     void endRecord(TrackedRecord record, JournalEntry.RecordOutcome outcome, long retryAfterMicros) {
-        if (record.outcome == null) {
+        if (record.noticeSettled) {
+            decisionStage.addEvent(new Event.FinalAnswerDelivered(record.entry.number()));
+        } else if (record.outcome == null) {
             recordStore.endRecord(record, outcome, retryAfterMicros);
             counters.add(outcome == JournalEntry.RecordOutcome.BOUNCED ? Counter.ENDED_BOUNCED : Counter.ENDED_TERMINATED);
             record.endedAt = decisionLoop.now();
@@ -127,11 +132,9 @@
         }
     }
 
-    /** For an ended record of the previous run: queues its notice again, or reports that the notice was answered. */
+    /** For an ended record of the previous run: queues its notice again, unless it was answered or none was needed. */
     void restore(TrackedRecord record) {
-        if (record.noticeSettled) {
-            decisionStage.addEvent(new Event.FinalAnswerDelivered(record.entry.number()));
-        } else {
+        if (!record.noticeSettled) {
             record.endedAt = decisionLoop.now();
             pendingNotices.add(record);
         }
--- a/src/main/java/terndyke/node/stage/RecordStore.java
+++ b/src/main/java/terndyke/node/stage/RecordStore.java
@@ -62,6 +62,7 @@
                         .forEach(shot -> shot.ending = shotEnded.ending());
             } else if (entry instanceof JournalEntry.RecordEnded recordEnded && record.outcome == null) {
                 applyEnd(record, recordEnded.outcome(), recordEnded.retryAfter());
+                resolveDeliveringShot(record);
             } else if (entry instanceof JournalEntry.RecordEnded recordEnded
                     && record.outcome == JournalEntry.RecordOutcome.DONE
                     && recordEnded.outcome() == JournalEntry.RecordOutcome.TERMINATED) {
@@ -73,6 +74,14 @@
         return recordsByNumber.values();
     }
 
+    /** The shot that delivered a record has no entry of its own: it is known where it is the only one without an ending. */
+    private static void resolveDeliveringShot(TrackedRecord record) {
+        List<TrackedRecord.Shot> unresolved = record.shots.stream().filter(shot -> shot.ending == null).toList();
+        if (record.outcome == JournalEntry.RecordOutcome.DONE && unresolved.size() == 1) {
+            unresolved.get(0).ending = Ending.DONE;
+        }
+    }
+
     public long lastRecordNumber() {
         return recordsByNumber.keySet().stream().mapToLong(Long::longValue).max().orElse(0);
     }
--- a/src/main/java/terndyke/node/stage/SendStage.java
+++ b/src/main/java/terndyke/node/stage/SendStage.java
@@ -336,13 +336,16 @@
 
     /**
      * Reports a record of the previous run and its shots to the decision module, unless it has ended, its notice is
-     * settled and the outcome of every shot is known.
+     * settled and the outcome of every shot is known. Where only that outcome is unknown, no final answer is due any more.
      */
     void restore(TrackedRecord record) {
         boolean outcomeUnknown = record.shots.stream().anyMatch(shot -> shot.ending == null);
         if (record.isOpen() || !record.noticeSettled || outcomeUnknown) {
             decisionStage.addEvent(turnTime -> new Event.RecordRestored(DecisionLoop.toEvent(record, turnTime),
                     describeEarlierShots(record, turnTime), !record.isOpen()));
+            if (record.noticeSettled) {
+                decisionStage.addEvent(new Event.FinalAnswerDelivered(record.entry.number()));
+            }
         }
     }
 
--- a/src/test/java/terndyke/node/stage/StageTest.java
+++ b/src/test/java/terndyke/node/stage/StageTest.java
@@ -120,6 +120,16 @@
         assertEquals(List.of("taken", "refused 0", "delivered", "refused 0"), answers);
     }
 
+    /** Guards against a delivered record that the next run takes for one whose shot may still run. */
+    @Test
+    void theShotThatDeliveredARecordIsKnownAfterARestart() throws IOException {
+        TrackedRecord record = addRecord("r");
+        TrackedRecord.Shot shot = new TrackedRecord.Shot(0, 1, "s-1", 0, NOW_MICROS);
+        assertTrue(recordStore.journalShot(record, shot));
+        recordStore.endRecord(record, JournalEntry.RecordOutcome.DONE, 0);
+        assertEquals(Ending.DONE, reopenStore().findById("r").shots.get(0).ending);
+    }
+
     @Test
     void anUnknownDestinationFails() {
         assertFalse(admissionStage.admit(createRequest("r", 4, 10, NOW_MICROS), NOW_MICROS));
