A key waits for the notice of a message whose delivery is taken back

What callers would see: the next message of a key called although the one before it, whose delivery may have been a copy, is neither delivered nor answered. Cause: DeliveryContradicted ended at the notices; the dispatcher never heard of it and the key was free. Change: DeliveryRevoked tells the dispatcher, and the key waits for the answer to the notice. What has been called by then stays past help. Evidence: by reading; DispatcherTest.aKeyWaits... passes with it (it needs the new event, so it was not run on the code before).

--- a/src/main/java/terndyke/api/Event.java
+++ b/src/main/java/terndyke/api/Event.java
@@ -47,6 +47,12 @@
     /** The final answer that the dispatcher gave for a record has been delivered; until then the record is not finished. */
     record FinalAnswerDelivered(long id) implements Event { }
 
+    /**
+     * A record whose shot was reported as done may not have been delivered after all, as the response may have belonged to another
+     * call. Its final answer is due again.
+     */
+    record DeliveryRevoked(long id, int grade, long key) implements Event { }
+
     /** The node is shutting down and waits for outcomes no longer than gracePeriod. */
     record NodeShuttingDown(long gracePeriod) implements Event { }
 
--- a/src/main/java/terndyke/decision/Dispatcher.java
+++ b/src/main/java/terndyke/decision/Dispatcher.java
@@ -96,6 +96,8 @@
             checkConnectionLimit(route, probe.ending());
         } else if (event instanceof Event.FinalAnswerDelivered delivered && undeliveredAnswers.containsKey(delivered.id())) {
             undeliveredAnswers.remove(delivered.id()).outstandingCount--;
+        } else if (event instanceof Event.DeliveryRevoked revoked) {
+            awaitAnswerDelivery(revoked.id(), keyQueue(revoked.grade(), revoked.key()));
         } else if (event instanceof Event.CallClosedLate closed && keyQueues.containsKey(closed.key())) {
             keyQueues.get(closed.key()).restUntil(now + settings.keyQuietPeriod() + 1);
         } else if (event instanceof Event.NodeShuttingDown shutdown) {
@@ -139,8 +141,7 @@
         DestinationState destination = destinationStates.computeIfAbsent(accepted.destination(),
                 number -> new DestinationState());
         double payoff = grade.payoff() * (consumeQuota(accepted.tenant()) ? 1 : settings.overQuotaPayoffFactor());
-        KeyQueue keyQueue = grade.inOrder() && accepted.key() != 0
-                ? keyQueues.computeIfAbsent(accepted.key(), key -> new KeyQueue()) : new KeyQueue();
+        KeyQueue keyQueue = keyQueue(accepted.grade(), accepted.key());
         PendingRecord record = new PendingRecord(accepted, now, grade, destination, payoff, keyQueue);
         recordsById.put(accepted.id(), record);
         recordsByAbandonTime.add(record);
@@ -149,6 +150,12 @@
         return record;
     }
 
+    /** The queue of a key, which all grades in order share; a record without order has a queue of its own. */
+    private KeyQueue keyQueue(int grade, long key) {
+        return settings.grades().get(grade).inOrder() && key != 0 ? keyQueues.computeIfAbsent(key, number -> new KeyQueue())
+                : new KeyQueue();
+    }
+
     /**
      * Takes over a record that the previous run of this node did not finish, so that rules 2 and 5 hold across a restart: a
      * shot that was out when that run ended may have run.
@@ -163,7 +170,7 @@
             record.keyQueue.shotEnded(record, shot.ending, now, settings.keyQuietPeriod());
         }
         if (restored.ended()) {
-            awaitAnswerDelivery(record);
+            awaitAnswerDelivery(record.id, record.keyQueue);
             endRecord(record);
         } else if (record.isDone()) {
             bounceOrTerminate(record);
@@ -171,9 +178,9 @@
     }
 
     /** Notes that the final answer is not delivered yet; until then no other record of the same key is sent. */
-    private void awaitAnswerDelivery(PendingRecord record) {
-        record.keyQueue.outstandingCount += settings.reportsFinalAnswerDelivery()
-                && undeliveredAnswers.put(record.id, record.keyQueue) == null ? 1 : 0;
+    private void awaitAnswerDelivery(long id, KeyQueue keyQueue) {
+        keyQueue.outstandingCount += settings.reportsFinalAnswerDelivery()
+                && undeliveredAnswers.put(id, keyQueue) == null ? 1 : 0;
     }
 
     /**
@@ -211,7 +218,7 @@
     private void bounceOrTerminate(PendingRecord record) {
         actions.add(record.inFlightShotCount > 0 || !record.canBounce() ? new Action.Terminate(record.id)
                 : new Action.Bounce(record.id, Math.min(1_000_000, settings.maxRetryAfter())));
-        awaitAnswerDelivery(record);
+        awaitAnswerDelivery(record.id, record.keyQueue);
         endRecord(record);
     }
 
--- a/src/main/java/terndyke/node/stage/NotificationStage.java
+++ b/src/main/java/terndyke/node/stage/NotificationStage.java
@@ -115,6 +115,7 @@
         counters.add(Counter.DELIVERIES_UNCERTAIN);
         record.endedAt = decisionLoop.now();
         pendingNotices.add(record);
+        decisionStage.addEvent(new Event.DeliveryRevoked(record.entry.number(), record.entry.grade(), record.entry.key()));
         log.infoAboutRecord("message " + record.entry.id() + " of key " + record.keyText() + " reported after its delivery at "
                 + shot.endpointUid + ": another response followed, so that the first may have been a copy");
     }
--- a/src/test/java/terndyke/decision/DispatcherTest.java
+++ b/src/test/java/terndyke/decision/DispatcherTest.java
@@ -189,6 +189,19 @@
         assertEquals(List.of(12L), actionsOfType(SendShot.class, actions).stream().map(SendShot::endpoint).toList());
     }
 
+    /** Guards against a message that is called although the one before it, whose delivery was a mistake, is not answered yet. */
+    @Test
+    void aKeyWaitsForTheAnswerOfARecordWhoseDeliveryIsRevoked() {
+        Dispatcher dispatcher = dispatcher(settings(true, true, 100), 0);
+        dispatcher.handleEvents(START_MICROS, List.of(recordAccepted(1, DispatcherFixture.IN_ORDER)));
+        dispatcher.handleEvents(START_MICROS + 100_000, List.of(shotEnded(1, 0, 11, Ending.DONE, 0)));
+        dispatcher.handleEvents(START_MICROS + 110_000, List.of(new Event.DeliveryRevoked(1, DispatcherFixture.IN_ORDER, 7)));
+        assertEquals(0, actionsOfType(SendShot.class, dispatcher.handleEvents(START_MICROS + 120_000,
+                List.of(recordAccepted(2, DispatcherFixture.IN_ORDER)))).size());
+        assertEquals(List.of(2L), actionsOfType(SendShot.class, dispatcher.handleEvents(START_MICROS + 130_000,
+                List.of(new Event.FinalAnswerDelivered(1)))).stream().map(SendShot::id).toList());
+    }
+
     @Test
     void recordsOfOneKeyAreSentOneAtATimeWithAPauseAfterAnUnresolvedShot() {
         Dispatcher dispatcher = dispatcher(settings(true, true, 100), 0);
