A 200 before its request is written delivers nothing; doubted responses blame no endpoint

Cause: the status line alone decided, although an endpoint begins a call only once its last byte has come. And a doubted response was told to the dispatcher as a reset, a failure of the endpoint. Change: such a 200 is doubted (PREMATURE): the connection is closed, and the request, which is not whole, never runs. A doubted response to a whole request is told as recalled: it may have run, its key rests, its wait holds, and nothing is said of the endpoint. Evidence: ConnectionPoolTest.aResponseThatComesBefore... red 3 of 3 on the code before (it was a delivery), and aResponseThatMayBeACopy... demands RECALLED in place of RESET, red 3 of 3; both green.

--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -569,7 +569,7 @@
                 case CUT_IN_FIRST_LINE, CUT_IN_HEAD, CUT_IN_BODY -> counters.add(Counter.ANSWERS_CUT);
                 case UNREADABLE -> counters.add(Counter.ANSWERS_UNREADABLE);
                 case STALLED -> counters.add(Counter.ANSWERS_STALLED);
-                case POSSIBLE_COPY -> counters.add(Counter.ANSWERS_DOUBTFUL);
+                case POSSIBLE_COPY, PREMATURE -> counters.add(Counter.ANSWERS_DOUBTFUL);
             }
         }
 
@@ -584,6 +584,9 @@
             if (isDone()) {
                 logIfEarly();
             }
+            if (newStatus == HttpStatus.SC_OK && !pooledConnection.isRequestWritten()) {
+                defect = ResponseDefect.PREMATURE;
+            }
         }
 
         /** Logs a delivery that came before the request was written, or much sooner than the endpoint's others. */
@@ -602,8 +605,9 @@
                     + shortestMicros / 1000 + " ms or more for a delivery");
         }
 
+        /** True if the response may belong to another call. */
         private boolean isDoubtful() {
-            return defect == ResponseDefect.POSSIBLE_COPY;
+            return defect == ResponseDefect.POSSIBLE_COPY || defect == ResponseDefect.PREMATURE;
         }
 
         /**
@@ -815,8 +819,7 @@
         @Override
         public void failed(Exception cause) {
             Call.Result result = isDone() ? new Call.Result(status, null, 0, false, null, null)
-                    : Call.Result.withoutResponse(pooledConnection.isRequestWritten() ? Ending.RESET : Ending.NOT_CONNECTED,
-                            effectiveRetryAfterMicros(), classifyDefect(cause));
+                    : Call.Result.withoutResponse(endingWithoutResponse(), effectiveRetryAfterMicros(), classifyDefect(cause));
             IOSession session = pooledConnection.session;
             if (session != null) {
                 endOutput(session);
@@ -826,6 +829,14 @@
             complete();
         }
 
+        /** A request that is not written to its end is never executed. A response that is not believed says nothing of the endpoint. */
+        private Ending endingWithoutResponse() {
+            if (!pooledConnection.isRequestWritten()) {
+                return Ending.NOT_CONNECTED;
+            }
+            return isDoubtful() ? Ending.RECALLED : Ending.RESET;
+        }
+
         /** Its connection is lost before the request was started; stray bytes are the reason why, and say nothing of the endpoint. */
         void failBeforeStart(boolean strayBytes) {
             if (strayBytes) {
--- a/src/main/java/terndyke/node/http/ResponseDefect.java
+++ b/src/main/java/terndyke/node/http/ResponseDefect.java
@@ -17,5 +17,7 @@
     /** The rest of the response did not arrive before the read timeout. */
     STALLED,
     /** The response may be a second copy of one that came on its connection just before. */
-    POSSIBLE_COPY
+    POSSIBLE_COPY,
+    /** The response came before the request was written to its end, so that it belongs to another call. */
+    PREMATURE
 }
--- a/src/main/java/terndyke/node/stage/SendStage.java
+++ b/src/main/java/terndyke/node/stage/SendStage.java
@@ -189,7 +189,8 @@
                 recordStore.endRecord(shotCompleted.trackedRecord(), JournalEntry.RecordOutcome.WITHDRAWN, 0);
             }
             complete(shotCompleted.trackedRecord(), shotCompleted.shot(), shotCompleted.endpointNumber(), ending,
-                    shotCompleted.completedAt(), ending == Ending.FULL || ending == Ending.RESET ? result.retryAfterMicros() : 0,
+                    shotCompleted.completedAt(),
+                    ending == Ending.FULL || ending == Ending.RESET || ending == Ending.RECALLED ? result.retryAfterMicros() : 0,
                     ending == Ending.NOT_SENT && result.lineBusy(),
                     parseReport(result.serverLoad(), reportFields));
         }
