--- a/src/main/java/terndyke/node/journal/Journal.java
+++ b/src/main/java/terndyke/node/journal/Journal.java
@@ -113,20 +113,20 @@
         return size;
     }
 
-    /** Appends one entry completely, or throws and leaves the file as it was. */
+    /** Appends one entry completely, or throws and leaves the file as it was, or with a torn tail. */
     public void append(JournalEntry entry) throws IOException {
         byte[] frame = encodeFrame(entry);
         if (roundUpToBlock(size + frame.length) > maxBytes) {
             throw new IOException("journal is full");
         }
+        file.seek(size); // behind the last whole entry: what a failed write has left there is overwritten
         try {
             file.write(frame);
-            size += frame.length;
         } catch (IOException e) {
             file.setLength(size);
-            file.seek(size);
             throw e;
         }
+        size += frame.length;
     }
 
     /** The size of the entry in the file, with length and checksum. */
--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -213,6 +213,7 @@
         for (LoopEvent event = eventQueue.poll(); event != null; event = eventQueue.poll()) {
             handleAtShutdown(event);
         }
+        recordStore.flush();
         connectionPool.close();
     }
 
--- a/src/main/java/terndyke/node/stage/RecordStore.java
+++ b/src/main/java/terndyke/node/stage/RecordStore.java
@@ -38,6 +38,8 @@
     private long reservedBytes; // for records that are admitted but not yet in the journal
     private int admittedCount;
     private boolean journalFailing;
+    private final Deque<JournalEntry> unwrittenEntries = new ArrayDeque<>(); // of what has happened, in order; see appendEnd
+    private boolean entriesMissing; // more than those: only a compaction makes the journal complete
 
     public RecordStore(Journal journal, Limits limits, Counters counters, NodeLog log) {
         this.journal = journal;
@@ -149,12 +151,12 @@
     void endShot(TrackedRecord record, TrackedRecord.Shot shot, Ending ending) {
         shot.ending = ending;
         shot.connection = null;
-        appendEntry(new JournalEntry.ShotEnded(record.entry.number(), shot.number, ending), 0);
+        appendEnd(new JournalEntry.ShotEnded(record.entry.number(), shot.number, ending));
     }
 
     void endRecord(TrackedRecord record, JournalEntry.RecordOutcome outcome, long retryAfterMicros) {
         if (record.outcome == null) {
-            appendEntry(new JournalEntry.RecordEnded(record.entry.number(), outcome, retryAfterMicros), 0);
+            appendEnd(new JournalEntry.RecordEnded(record.entry.number(), outcome, retryAfterMicros));
             applyEnd(record, outcome, retryAfterMicros);
         }
     }
@@ -171,7 +173,7 @@
 
     /** Ends a record that was counted as delivered anew, as terminated, so that a notice is due. */
     void terminateDelivered(TrackedRecord record) {
-        appendEntry(new JournalEntry.RecordEnded(record.entry.number(), JournalEntry.RecordOutcome.TERMINATED, 0), 0);
+        appendEnd(new JournalEntry.RecordEnded(record.entry.number(), JournalEntry.RecordOutcome.TERMINATED, 0));
         replaceDelivery(record);
     }
 
@@ -182,7 +184,7 @@
 
     void settleNotice(TrackedRecord record) {
         record.noticeSettled = true;
-        appendEntry(new JournalEntry.NoticeAnswered(record.entry.number()), 0);
+        appendEnd(new JournalEntry.NoticeAnswered(record.entry.number()));
     }
 
     /**
@@ -216,6 +218,8 @@
             if (journal.compact(liveEntries())) {
                 counters.add(Counter.JOURNAL_COMPACTIONS);
                 journalFailing = false;
+                entriesMissing = false;
+                unwrittenEntries.clear(); // the compaction has written what they say
             }
         } catch (IOException e) {
             log.warn("journal: compaction failed", e);
@@ -247,7 +251,35 @@
         return entries;
     }
 
+    /**
+     * Writes an entry about what is going to happen; false if it cannot be written, so that it must not happen. Nothing new may
+     * happen while the journal lacks what has happened before: a kill would undo that, and the next run repeat it.
+     */
     private boolean appendEntry(JournalEntry entry, long reserveBytes) {
+        return flush() && write(entry, reserveBytes);
+    }
+
+    /** Writes an entry about what has happened. If it cannot be written now, it is written before any later entry. */
+    private void appendEnd(JournalEntry entry) {
+        if (flush() && write(entry, 0)) {
+            return;
+        }
+        if (unwrittenEntries.size() < limits.maxEndedRecords()) {
+            unwrittenEntries.add(entry);
+        } else {
+            entriesMissing = true;
+        }
+    }
+
+    /** Writes the entries that could not be written before; true if the journal is complete now. */
+    boolean flush() {
+        while (!unwrittenEntries.isEmpty() && write(unwrittenEntries.peekFirst(), 0)) {
+            unwrittenEntries.removeFirst();
+        }
+        return unwrittenEntries.isEmpty() && !entriesMissing;
+    }
+
+    private boolean write(JournalEntry entry, long reserveBytes) {
         try {
             if (reserveBytes > 0 && journal.remainingBytes(0) < reserveBytes + Journal.encodedSize(entry)) {
                 return false;
--- a/src/test/java/terndyke/KeyOrderRestartProcessTest.java
+++ b/src/test/java/terndyke/KeyOrderRestartProcessTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -16,6 +18,7 @@
 /** Kills a node process and starts it again, and checks how the messages of one key go on. */
 class KeyOrderRestartProcessTest {
     private static final long MESSAGE_TIMEOUT_MILLIS = 4_000;
+    private static final long DISK_FAILURE_MILLIS = 930; // ends shortly before the node tries again to journal a shot, after 1 s
     private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n";
 
@@ -58,4 +61,50 @@
             }
         }
     }
+
+    /**
+     * Guards against a message that is called again after the next one of its key, because its end could not be written to the
+     * journal before a kill.
+     */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aMessageWhoseEndCouldNotBeJournalledIsNotCalledAgainAfterTheNextOfItsKey() throws Exception {
+        Message first = new Message("key", 0);
+        Message second = new Message("key", 1);
+        CountDownLatch diskFails = new CountDownLatch(1);
+        try (RawServer endpoint = new RawServer(call -> answerEventAfter(diskFails, call));
+                RawServer platform = new RawServer(request -> answerPlatform(request, endpoint.address()))) {
+            try (TestNodeProcess killed = TestNodeProcess.startServing(folder, platform.address())) {
+                assertEquals("HTTP/1.1 202 Accepted", killed.submit("reading", first, 0, MESSAGE_TIMEOUT_MILLIS));
+                assertEquals("HTTP/1.1 202 Accepted", killed.submit("reading", second, 0, MESSAGE_TIMEOUT_MILLIS));
+                assertTrue(calls.awaitCall(first, MESSAGE_TIMEOUT_MILLIS));
+                killed.limitFileSize(0);
+                diskFails.countDown();
+                killed.awaitDeliveries(1);
+                Thread.sleep(DISK_FAILURE_MILLIS);
+                killed.limitFileSize(-1);
+                calls.awaitCall(second, MESSAGE_TIMEOUT_MILLIS);
+                killed.kill();
+            }
+            try (TestNodeProcess restarted = TestNodeProcess.startServing(folder, platform.address())) {
+                assertTrue(calls.awaitAnswer(second, MESSAGE_TIMEOUT_MILLIS), "the second message was never answered");
+                Message third = new Message("key", 2); // called after whatever the restarted node still does for the key
+                assertEquals("HTTP/1.1 202 Accepted", restarted.submit("reading", third, 0, MESSAGE_TIMEOUT_MILLIS));
+                assertTrue(calls.awaitAnswer(third, MESSAGE_TIMEOUT_MILLIS), "the third message was never answered");
+            }
+        }
+        assertEquals(List.of(), calls.breaches());
+    }
+
+    private Response answerEventAfter(CountDownLatch latch, Request call) {
+        Message message = Message.ofId(call.header("Request-Id"));
+        calls.begin(message);
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        calls.end(message, true);
+        return Response.complete(OK);
+    }
 }
--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -129,6 +129,19 @@
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
     }
 
+    /** Lets writes to files fail once a file would grow past the given size; a negative size lifts the limit. */
+    void limitFileSize(long bytes) throws IOException, InterruptedException {
+        String limit = bytes < 0 ? "unlimited" : Long.toString(bytes);
+        assertEquals(0, new ProcessBuilder("prlimit", "--pid", Long.toString(process.pid()), "--fsize=" + limit + ":unlimited").start()
+                .waitFor());
+    }
+
+    /** Kills the process and waits until it is gone. */
+    void kill() throws InterruptedException {
+        process.destroyForcibly();
+        assertTrue(process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
     void assertCleanExit() throws InterruptedException {
         process.destroy();
         assertTrue(process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
