--- a/src/test/java/terndyke/FaultInjectingProxy.java
+++ b/src/test/java/terndyke/FaultInjectingProxy.java
@@ -25,12 +25,19 @@
 
     private final Set<String> deliveredIds = ConcurrentHashMap.newKeySet();
     private final Random seeds;
+    private final CallRecorder calls;
 
     /** What happens to one response. */
     private enum Fault { REPEATED, DELAYED, SPLIT, CUT, RESET, DROPPED, PREFIXED, NONE }
 
     FaultInjectingProxy(String serverAddress, long seed) throws IOException {
+        this(serverAddress, seed, new CallRecorder());
+    }
+
+    /** Records the calls of messages with a key. */
+    FaultInjectingProxy(String serverAddress, long seed, CallRecorder calls) throws IOException {
         super(serverAddress);
+        this.calls = calls;
         seeds = new Random(seed);
         start();
     }
@@ -47,6 +54,7 @@
     private final class FaultyRelay extends Relay {
         private final Random random;
         private volatile String currentId = "";
+        private volatile CallRecorder.Message currentMessage; // null for one without a key
 
         FaultyRelay(Socket client, Random random) throws IOException {
             super(client);
@@ -57,9 +65,24 @@
         void forwardRequest(byte[] bytes) throws IOException {
             Matcher matcher = REQUEST_ID.matcher(new String(bytes, StandardCharsets.ISO_8859_1));
             currentId = matcher.find() ? matcher.group(1) : currentId;
+            currentMessage = CallRecorder.Message.of(bytes);
+            if (currentMessage != null) {
+                calls.begin(currentMessage);
+            }
             sendToServer(bytes);
         }
 
+        private void endCall(boolean answered) {
+            if (currentMessage != null) {
+                calls.end(currentMessage, answered);
+            }
+        }
+
+        @Override
+        void onClientEnd() {
+            endCall(false);
+        }
+
         private Fault drawFault() {
             int faults = Fault.NONE.ordinal();
             int drawn = random.nextInt(OUTCOMES_PER_FAULT * faults);
@@ -68,6 +91,7 @@
 
         @Override
         void forwardResponse(byte[] bytes) throws IOException, InterruptedException {
+            endCall(true); // the endpoint is done, whatever becomes of its response
             switch (drawFault()) {
                 case DROPPED -> { }
                 case RESET -> resetClient();
