A connection forgets responses older than the longest copy window again

No answer of mayBeCopy changes: a request that is written after the response that is being added cannot lie within the window of one older than the longest window. Found by reading the change again. ResponseHistoryTest, ConnectionPoolTest and KeyOrderProcessTest pass (61 tests); the bound has no test.

--- a/src/main/java/terndyke/node/http/ResponseHistory.java
+++ b/src/main/java/terndyke/node/http/ResponseHistory.java
@@ -23,8 +23,9 @@
         this.limits = limits;
     }
 
-    /** Adds a complete response. */
+    /** Adds a complete response, and forgets those that no request to come can be written soon enough after. */
     void add(int status, long now) {
+        receivedAtByStatus.values().removeIf(receivedAt -> now - receivedAt >= limits.maxResponseCopyWindowMicros());
         receivedAtByStatus.put(status, now);
     }
 
