--- a/src/test/java/terndyke/TcpProxy.java
+++ b/src/test/java/terndyke/TcpProxy.java
@@ -76,12 +76,9 @@
         /** Called when the client has ended the connection, before the server's side is closed. */
         void onClientEnd() throws InterruptedException { }
 
-        /** Called when the server has ended the connection, before the client's side is closed. */
-        void onServerEnd() throws InterruptedException { }
-
         private void start() {
             startDaemon(() -> relay(client, this::forwardRequest, this::onClientEnd));
-            startDaemon(() -> relay(server, this::forwardResponse, this::onServerEnd));
+            startDaemon(() -> relay(server, this::forwardResponse, () -> { }));
         }
 
         private void relay(Socket source, Forwarder forwarder, EndListener endListener) {
