The tests with node processes share platform, responses and recording proxy

The stand-in of the platform stood in five tests, the pause in four, the responses in five, the recording proxy and the set-up behind a repeating proxy twice or more. Checks, bounds, seeds and draws are the same.

--- a/src/test/java/terndyke/FaultySoakProcessTest.java
+++ b/src/test/java/terndyke/FaultySoakProcessTest.java
@@ -2,6 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static terndyke.ProcessTestSupport.FAILED;
+import static terndyke.ProcessTestSupport.OK;
+import static terndyke.ProcessTestSupport.REFUSED;
+import static terndyke.ProcessTestSupport.noticeId;
+import static terndyke.ProcessTestSupport.sleep;
 
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -37,10 +42,6 @@
     private static final double FAILED_SHARE = 0.05;
     private static final long MESSAGE_TIMEOUT_MILLIS = 3_000;
     private static final long NOTICE_GRACE_MILLIS = 500;
-    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    private static final String REFUSED = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-    private static final String FAILED = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
-    private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n";
 
     private final Map<String, AtomicInteger> runsById = new ConcurrentHashMap<>();
     private final Map<String, String> noticesById = new ConcurrentHashMap<>();
@@ -54,15 +55,11 @@
     }
 
     private Response answerPlatform(Request request, String endpointAddress, Random random) {
-        if (!request.path().equals("/v2/finals")) {
-            return request.path().contains("after=") ? Response.NO_RESPONSE
-                    : Response.json(TestNodeProcess.listJson(endpointAddress, DESTINATIONS));
-        }
-        if (random.nextDouble() < REFUSED_SHARE) {
+        if (request.path().equals("/v2/finals") && random.nextDouble() < REFUSED_SHARE) {
             return Response.complete(REFUSED);
         }
-        request.body().lines().map(line -> line.split("\"")).forEach(fields -> noticesById.put(fields[3], fields[7]));
-        return Response.complete(NO_CONTENT);
+        return ProcessTestSupport.answerPlatform(request, endpointAddress, DESTINATIONS,
+                notice -> noticesById.put(noticeId(notice), notice.split("\"")[7]));
     }
 
     private Response answerEvent(Request call, Random random) {
@@ -75,14 +72,6 @@
         return Response.complete(drawn < REFUSED_SHARE + FAILED_SHARE ? FAILED : OK);
     }
 
-    private static void sleep(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** Submits messages at random moments; returns the grades of the accepted ones by id. */
     private static Map<String, String> submitMessages(TestNodeProcess node, Random random) throws InterruptedException {
         Map<String, String> accepted = new ConcurrentHashMap<>();
--- a/src/test/java/terndyke/KeyOrderProcessTest.java
+++ b/src/test/java/terndyke/KeyOrderProcessTest.java
@@ -2,6 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static terndyke.ProcessTestSupport.OK;
+import static terndyke.ProcessTestSupport.answerPlatform;
+import static terndyke.ProcessTestSupport.sleep;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -13,7 +16,6 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import terndyke.CallRecorder.Message;
-import terndyke.RawServer.Request;
 import terndyke.RawServer.Response;
 
 /** Runs a node as a process and checks the order of the calls of one key, whatever happens to responses and to the process. */
@@ -27,8 +29,6 @@
     private static final Message EARLIER = new Message("other", 0);
     private static final Message FIRST = new Message("key", 0);
     private static final Message SECOND = new Message("key", 1);
-    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n";
 
     private final CallRecorder calls = new CallRecorder();
     private volatile TestNodeProcess node;
@@ -36,44 +36,36 @@
     @TempDir
     Path folder;
 
-    private static Response answerPlatform(Request request, String endpointAddress) {
-        if (request.path().equals("/v2/finals")) {
-            return Response.complete(NO_CONTENT);
-        }
-        return request.path().contains("after=") ? Response.NO_RESPONSE
-                : Response.json(TestNodeProcess.listJson(endpointAddress, 1));
-    }
-
-    private static void sleep(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private static Response answerSlowly() {
         sleep(SERVICE_MILLIS);
         return Response.complete(OK);
     }
 
-    /** Sends the response to the call before a second time while the first message of the key is out, to a node that is held up. */
-    private final class CopyingProxy extends TcpProxy {
-        CopyingProxy(String serverAddress) throws IOException {
+    /**
+     * Records the calls. Lets the endpoint see the end of a call later than the node ended it, and may send the response to the call
+     * before a second time while the first message of the key is out, to a node that is held up.
+     */
+    private final class RecordingProxy extends TcpProxy {
+        private final long endLagMillis;
+        private final boolean copiesResponses;
+
+        RecordingProxy(String serverAddress, long endLagMillis, boolean copiesResponses) throws IOException {
             super(serverAddress);
+            this.endLagMillis = endLagMillis;
+            this.copiesResponses = copiesResponses;
             start();
         }
 
         @Override
         Relay createRelay(Socket client) throws IOException {
-            return new CopyingRelay(client);
+            return new RecordingRelay(client);
         }
 
-        private final class CopyingRelay extends Relay {
+        private final class RecordingRelay extends Relay {
             private volatile Message message;
             private volatile byte[] lastResponse;
 
-            CopyingRelay(Socket client) throws IOException {
+            RecordingRelay(Socket client) throws IOException {
                 super(client);
             }
 
@@ -82,7 +74,7 @@
                 message = Message.of(bytes);
                 calls.begin(message);
                 sendToServer(bytes);
-                if (message.equals(FIRST) && lastResponse != null) {
+                if (copiesResponses && message.equals(FIRST) && lastResponse != null) {
                     holdUpNodeDuring(() -> sendToClient(lastResponse));
                 }
             }
@@ -94,48 +86,9 @@
                 sendToClient(bytes);
             }
 
-            @Override
-            void onClientEnd() {
-                calls.end(message, false);
-            }
-        }
-    }
-
-    /** Lets the endpoint see the end of a call later than the node ended it. */
-    private final class LateEndProxy extends TcpProxy {
-        LateEndProxy(String serverAddress) throws IOException {
-            super(serverAddress);
-            start();
-        }
-
-        @Override
-        Relay createRelay(Socket client) throws IOException {
-            return new LateEndRelay(client);
-        }
-
-        private final class LateEndRelay extends Relay {
-            private volatile Message message;
-
-            LateEndRelay(Socket client) throws IOException {
-                super(client);
-            }
-
-            @Override
-            void forwardRequest(byte[] bytes) throws IOException {
-                message = Message.of(bytes);
-                calls.begin(message);
-                sendToServer(bytes);
-            }
-
-            @Override
-            void forwardResponse(byte[] bytes) throws IOException {
-                calls.end(message, true);
-                sendToClient(bytes);
-            }
-
             @Override
             void onClientEnd() throws InterruptedException {
-                Thread.sleep(END_LAG_MILLIS);
+                Thread.sleep(endLagMillis);
                 calls.end(message, false);
             }
         }
@@ -176,8 +129,8 @@
     @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void aCopyThatIsReadLateByANodeHeldUpDoesNotFreeTheKey() throws Exception {
         try (RawServer endpoint = new RawServer(call -> answerSlowly());
-                CopyingProxy proxy = new CopyingProxy(endpoint.address());
-                RawServer platform = new RawServer(request -> answerPlatform(request, proxy.address()));
+                RecordingProxy proxy = new RecordingProxy(endpoint.address(), 0, true);
+                RawServer platform = new RawServer(request -> answerPlatform(request, proxy.address(), 1, notice -> { }));
                 TestNodeProcess started = TestNodeProcess.startServing(folder, platform.address())) {
             node = started;
             playTwoMessagesOfOneKey();
@@ -194,8 +147,8 @@
     void aKeyRestsFromTheTimeAtWhichTheEndpointSeesTheEndOfTheCall() throws Exception {
         try (RawServer endpoint = new RawServer(call -> call.header("Request-Id").equals(FIRST.id()) ? Response.NO_RESPONSE
                         : Response.complete(OK));
-                LateEndProxy proxy = new LateEndProxy(endpoint.address());
-                RawServer platform = new RawServer(request -> answerPlatform(request, proxy.address()));
+                RecordingProxy proxy = new RecordingProxy(endpoint.address(), END_LAG_MILLIS, false);
+                RawServer platform = new RawServer(request -> answerPlatform(request, proxy.address(), 1, notice -> { }));
                 TestNodeProcess started = TestNodeProcess.startServing(folder, platform.address())) {
             assertEquals("HTTP/1.1 202 Accepted", started.submit("order", FIRST, 0, SHORT_TIMEOUT_MILLIS));
             assertEquals("HTTP/1.1 202 Accepted", started.submit("order", SECOND, 0, MESSAGE_TIMEOUT_MILLIS));
--- a/src/test/java/terndyke/KeyOrderRestartProcessTest.java
+++ b/src/test/java/terndyke/KeyOrderRestartProcessTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static terndyke.ProcessTestSupport.OK;
+import static terndyke.ProcessTestSupport.answerPlatform;
 
 import java.nio.file.Path;
 import java.util.List;
@@ -19,22 +21,12 @@
 class KeyOrderRestartProcessTest {
     private static final long MESSAGE_TIMEOUT_MILLIS = 4_000;
     private static final long DISK_FAILURE_MILLIS = 930; // ends shortly before the node tries again to journal a shot, after 1 s
-    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n";
 
     private final CallRecorder calls = new CallRecorder();
 
     @TempDir
     Path folder;
 
-    private static Response answerPlatform(Request request, String endpointAddress) {
-        if (request.path().equals("/v2/finals")) {
-            return Response.complete(NO_CONTENT);
-        }
-        return request.path().contains("after=") ? Response.NO_RESPONSE
-                : Response.json(TestNodeProcess.listJson(endpointAddress, 1));
-    }
-
     private Response answerEvent(Request call) {
         Message message = Message.ofId(call.header("Request-Id"));
         calls.begin(message);
@@ -49,7 +41,7 @@
         Message delivered = new Message("key", 0);
         Message next = new Message("key", 1);
         try (RawServer endpoint = new RawServer(this::answerEvent);
-                RawServer platform = new RawServer(request -> answerPlatform(request, endpoint.address()))) {
+                RawServer platform = new RawServer(request -> answerPlatform(request, endpoint.address(), 1, notice -> { }))) {
             try (TestNodeProcess killed = TestNodeProcess.startServing(folder, platform.address())) {
                 assertEquals("HTTP/1.1 202 Accepted", killed.submit("order", delivered, 0, MESSAGE_TIMEOUT_MILLIS));
                 assertTrue(calls.awaitAnswer(delivered, MESSAGE_TIMEOUT_MILLIS));
@@ -73,7 +65,7 @@
         Message second = new Message("key", 1);
         CountDownLatch diskFails = new CountDownLatch(1);
         try (RawServer endpoint = new RawServer(call -> answerEventAfter(diskFails, call));
-                RawServer platform = new RawServer(request -> answerPlatform(request, endpoint.address()))) {
+                RawServer platform = new RawServer(request -> answerPlatform(request, endpoint.address(), 1, notice -> { }))) {
             try (TestNodeProcess killed = TestNodeProcess.startServing(folder, platform.address())) {
                 assertEquals("HTTP/1.1 202 Accepted", killed.submit("reading", first, 0, MESSAGE_TIMEOUT_MILLIS));
                 assertEquals("HTTP/1.1 202 Accepted", killed.submit("reading", second, 0, MESSAGE_TIMEOUT_MILLIS));
--- a/src/test/java/terndyke/KeyOrderSoakProcessTest.java
+++ b/src/test/java/terndyke/KeyOrderSoakProcessTest.java
@@ -2,6 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static terndyke.ProcessTestSupport.OK;
+import static terndyke.ProcessTestSupport.REFUSED;
+import static terndyke.ProcessTestSupport.answerPlatform;
+import static terndyke.ProcessTestSupport.noticeId;
+import static terndyke.ProcessTestSupport.sleep;
 
 import java.io.IOException;
 import java.nio.file.Path;
@@ -48,9 +53,6 @@
     private static final long NOTICE_GRACE_MILLIS = 500;
     private static final long PLAY_TIMEOUT_SECONDS = 40;
     private static final long RESTART_GRACE_MILLIS = 1_500; // no notice is overdue sooner after a start
-    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    private static final String REFUSED = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-    private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n";
 
     private final CallRecorder calls = new CallRecorder();
     private final Map<String, AtomicInteger> runsById = new ConcurrentHashMap<>();
@@ -68,15 +70,6 @@
         return LongStream.rangeClosed(Long.parseLong(range[0]), Long.parseLong(range[range.length - 1]));
     }
 
-    private Response answerPlatform(Request request, String endpointAddress) {
-        if (request.path().equals("/v2/finals")) {
-            request.body().lines().forEach(line -> reportedIds.add(line.split("\"")[3]));
-            return Response.complete(NO_CONTENT);
-        }
-        return request.path().contains("after=") ? Response.NO_RESPONSE
-                : Response.json(TestNodeProcess.listJson(endpointAddress, DESTINATIONS));
-    }
-
     private Response answerEvent(Request call, Random random) {
         sleep(MIN_SERVICE_MILLIS + random.nextInt(MAX_SERVICE_MILLIS - MIN_SERVICE_MILLIS));
         if (random.nextDouble() < REFUSED_SHARE) {
@@ -86,14 +79,6 @@
         return Response.complete(OK);
     }
 
-    private static void sleep(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private static boolean awaitEnd(ExecutorService clients) {
         try {
             clients.awaitTermination(PLAY_TIMEOUT_SECONDS, TimeUnit.SECONDS);
@@ -169,7 +154,8 @@
         Random endpointRandom = new Random(random.nextLong());
         try (RawServer endpoint = new RawServer(call -> answerEvent(call, endpointRandom));
                 FaultInjectingProxy proxy = new FaultInjectingProxy(endpoint.address(), random.nextLong(), calls);
-                RawServer platform = new RawServer(request -> answerPlatform(request, proxy.address()))) {
+                RawServer platform = new RawServer(request -> answerPlatform(request, proxy.address(), DESTINATIONS,
+                        notice -> reportedIds.add(noticeId(notice))))) {
             node = TestNodeProcess.startServing(folder, platform.address());
             ExecutorService clients = Executors.newFixedThreadPool(KEYS);
             for (int key = 0; key < KEYS; key++) {
--- a/src/test/java/terndyke/RepeatedResponseProcessTest.java
+++ b/src/test/java/terndyke/RepeatedResponseProcessTest.java
@@ -1,6 +1,13 @@
 package terndyke;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static terndyke.ProcessTestSupport.FAILED;
+import static terndyke.ProcessTestSupport.NO_CONTENT;
+import static terndyke.ProcessTestSupport.OK;
+import static terndyke.ProcessTestSupport.REFUSED;
+import static terndyke.ProcessTestSupport.answerPlatform;
+import static terndyke.ProcessTestSupport.noticeId;
+import static terndyke.ProcessTestSupport.sleep;
 
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -21,6 +28,7 @@
 /** Runs a node as a process behind a proxy that sends each response a second time, while the next call on its connection is out. */
 class RepeatedResponseProcessTest {
     private static final long MAX_LAG_MILLIS = 80;
+    private static final long LONG_LAG_MILLIS = 300;
     private static final long SERVICE_MILLIS = 30;
     private static final long REST_MILLIS = 20; // of a connection between two calls: less than the lag
     private static final long OVERLAP_MILLIS = 10; // after the copy has come, before the response to the call that is out
@@ -28,10 +36,6 @@
     private static final long NOTICE_GRACE_MILLIS = 500;
     private static final int ROUNDS = 8;
     private static final String REFUSED_FIRST = "refused-first-";
-    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-    private static final String REFUSED = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-    private static final String FAILED = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
-    private static final String NO_CONTENT = "HTTP/1.1 204 No Content\r\n\r\n";
 
     private final Map<String, AtomicInteger> callsById = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> runsById = new ConcurrentHashMap<>();
@@ -41,12 +45,7 @@
     Path folder;
 
     private Response answerDiscovery(Request request, String endpointAddress) {
-        if (request.path().equals("/v2/finals")) {
-            request.body().lines().forEach(line -> reportedIds.add(line.split("\"")[3]));
-            return Response.complete(NO_CONTENT);
-        }
-        return request.path().contains("after=") ? Response.NO_RESPONSE
-                : Response.json(TestNodeProcess.listJson(endpointAddress, ROUNDS));
+        return answerPlatform(request, endpointAddress, ROUNDS, notice -> reportedIds.add(noticeId(notice)));
     }
 
     private Response answerEvent(Request call) {
@@ -63,14 +62,6 @@
         return counts.computeIfAbsent(id, key -> new AtomicInteger()).incrementAndGet();
     }
 
-    private static void sleep(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /**
      * Plays one round for each destination: a delivery, then a message that the endpoint refuses the first time, and a third one
      * while the second is called. Returns the accepted messages after all of them should have ended.
@@ -121,68 +112,61 @@
         }
     }
 
-    /** Guards against a message counted as delivered by a copy of the response to the call before, although it was refused. */
-    @Test
-    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
-    void aCopyOfADeliveryIsNeverTakenForTheResponseToTheNextCall() throws Exception {
+    /** What is done with a node while it runs. */
+    private interface Play {
+        void run(TestNodeProcess node) throws Exception;
+    }
+
+    /** Runs a node whose endpoint's responses come a second time, at the latest after the given time. */
+    private void playBehindRepeatingProxy(long lagMillis, Play play) throws Exception {
         try (RawServer endpoint = new RawServer(this::answerEvent);
-                RepeatingProxy proxy = new RepeatingProxy(endpoint.address(), MAX_LAG_MILLIS);
+                RepeatingProxy proxy = new RepeatingProxy(endpoint.address(), lagMillis);
                 RawServer platform = new RawServer(request -> answerDiscovery(request, proxy.address()));
                 TestNodeProcess node = TestNodeProcess.startServing(folder, platform.address())) {
-            List<String> accepted = playRounds(node, REST_MILLIS);
-            assertEquals(3 * ROUNDS, accepted.size());
-            assertAllEnded(accepted);
+            play.run(node);
         }
     }
 
+    private void playRoundsThatAllEnd(TestNodeProcess node, long restMillis) throws Exception {
+        List<String> accepted = playRounds(node, restMillis);
+        assertEquals(3 * ROUNDS, accepted.size());
+        assertEquals(List.of(), accepted.stream().filter(id -> !runsById.containsKey(id) && !reportedIds.contains(id)).toList(),
+                "messages that were neither delivered nor reported");
+    }
+
+    /** Guards against a message counted as delivered by a copy of the response to the call before, although it was refused. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aCopyOfADeliveryIsNeverTakenForTheResponseToTheNextCall() throws Exception {
+        playBehindRepeatingProxy(MAX_LAG_MILLIS, node -> playRoundsThatAllEnd(node, REST_MILLIS));
+    }
+
     /** Guards against copies that come later than expected, after one of them has shown on an idle connection how late they come. */
     @Test
     @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void aLateCopyOnAnIdleConnectionShowsForHowLongCopiesAreToBeExpected() throws Exception {
-        long lagMillis = 300;
-        try (RawServer endpoint = new RawServer(this::answerEvent);
-                RepeatingProxy proxy = new RepeatingProxy(endpoint.address(), lagMillis);
-                RawServer platform = new RawServer(request -> answerDiscovery(request, proxy.address()));
-                TestNodeProcess node = TestNodeProcess.startServing(folder, platform.address())) {
+        playBehindRepeatingProxy(LONG_LAG_MILLIS, node -> {
             submit(node, "alone", 0, new ArrayList<>());
-            sleep(SERVICE_MILLIS + 2 * lagMillis);
-            List<String> accepted = playRounds(node, lagMillis / 2);
-            assertEquals(3 * ROUNDS, accepted.size());
-            assertAllEnded(accepted);
-        }
+            sleep(SERVICE_MILLIS + 2 * LONG_LAG_MILLIS);
+            playRoundsThatAllEnd(node, LONG_LAG_MILLIS / 2);
+        });
     }
 
     /** Guards against the loss of a message by the first copy that comes later than copies are expected to come. */
     @Test
     @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void theFirstCopyThatComesLaterThanExpectedLosesNoMessage() throws Exception {
-        long lagMillis = 300;
-        try (RawServer endpoint = new RawServer(this::answerEvent);
-                RepeatingProxy proxy = new RepeatingProxy(endpoint.address(), lagMillis);
-                RawServer platform = new RawServer(request -> answerDiscovery(request, proxy.address()));
-                TestNodeProcess node = TestNodeProcess.startServing(folder, platform.address())) {
-            List<String> accepted = playRounds(node, lagMillis / 2);
-            assertEquals(3 * ROUNDS, accepted.size());
-            assertAllEnded(accepted);
-        }
-    }
-
-    private void assertAllEnded(List<String> accepted) {
-        assertEquals(List.of(), accepted.stream().filter(id -> !runsById.containsKey(id) && !reportedIds.contains(id)).toList(),
-                "messages that were neither delivered nor reported");
+        playBehindRepeatingProxy(LONG_LAG_MILLIS, node -> playRoundsThatAllEnd(node, LONG_LAG_MILLIS / 2));
     }
 
     /** Guards against a second run of a message that was taken for refused by the response to the call before. */
     @Test
     @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
     void aMessageIsNotSentAgainAfterTheLateResponseToTheCallBefore() throws Exception {
-        try (RawServer endpoint = new RawServer(this::answerEvent);
-                RepeatingProxy proxy = new RepeatingProxy(endpoint.address(), MAX_LAG_MILLIS);
-                RawServer platform = new RawServer(request -> answerDiscovery(request, proxy.address()));
-                TestNodeProcess node = TestNodeProcess.startServing(folder, platform.address())) {
+        playBehindRepeatingProxy(MAX_LAG_MILLIS, node -> {
             playRounds(node, REST_MILLIS);
             assertEquals(List.of(), callsById.keySet().stream().filter(id -> !id.startsWith(REFUSED_FIRST)
                     && callsById.get(id).get() > 1).toList(), "messages that ran and were called again");
-        }
+        });
     }
 }
