--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -145,7 +145,11 @@
         final List<Socket> open = new CopyOnWriteArrayList<>();
 
         Server(Function<Message, String> handler) throws IOException {
-            socket = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
+            this(new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1")), handler);
+        }
+
+        Server(ServerSocket socket, Function<Message, String> handler) {
+            this.socket = socket;
             thread(() -> {
                 while (!socket.isClosed()) {
                     try {
@@ -423,6 +427,6 @@
             + "\"group\":\"all\",\"memorySpan\":5.0,\"lateShare\":0.0,\"points\":3.0,\"stream\":false}";
     static final String ORDER = "{\"name\":\"supply-order\",\"target\":2.5,\"deadline\":12.0,\"semantics\":\"dedup\","
             + "\"group\":\"zone\",\"memorySpan\":6.0,\"serialByKey\":true,\"lateShare\":0.3,\"points\":1.0,\"stream\":false}";
-    static final String BOOKING = "{\"name\":\"slot-booking\",\"target\":2.5,\"deadline\":12.0,\"semantics\":\"fragile\","
+    static final String POSTING = "{\"name\":\"contribution-post\",\"target\":2.0,\"deadline\":16.0,\"semantics\":\"fragile\","
             + "\"lateShare\":0.4,\"points\":3.0,\"stream\":false}";
 }
