--- a/review/standin/EndlessHeads.java
+++ b/review/standin/EndlessHeads.java
@@ -27,7 +27,7 @@
         Path root = Path.of(arguments[0]).toAbsolutePath();
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Rig.open(Path.of(arguments[1]).toAbsolutePath());
-        Path folder = Files.createTempDirectory("terndyke-review");
+        Path folder = Rig.temporaryFolder();
         Set<String> delivered = ConcurrentHashMap.newKeySet();
         Rig.Server endpoint = new Rig.Server(request -> {
             Rig.sleep(200);
@@ -103,7 +103,6 @@
                 + silentMillis + " ms before the end of the load, requests whose connections ended with no answer twice: "
                 + endedWithoutAnswer + ", messages taken on and lost: " + lost);
         boolean held = alive && health.startsWith("HTTP/1.1 200") && silentMillis < 5000 && endedWithoutAnswer.get() == 0 && lost == 0;
-        Rig.deleteTree(folder);
         Rig.end(held ? 0 : 1, held ? "held" : "broken: the node " + (alive ? "hangs" : "has crashed"));
     }
 
--- a/review/standin/Replaced.java
+++ b/review/standin/Replaced.java
@@ -28,7 +28,7 @@
         Path root = Path.of(arguments[0]).toAbsolutePath();
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Rig.open(Path.of(arguments[1]).toAbsolutePath());
-        Path folder = Files.createTempDirectory("terndyke-review");
+        Path folder = Rig.temporaryFolder();
         ServerSocket firstAddress = new ServerSocket(0, trouble ? 1 : 512, InetAddress.getByName("127.0.0.1"));
         String address = "127.0.0.1:" + firstAddress.getLocalPort();
         Rig.Server s7 = new Rig.Server(request -> run("s-7", 7, request));
@@ -90,7 +90,6 @@
         if (taken.size() < ON_TIME + LATE) {
             Rig.end(2, "messages were not taken on");
         }
-        Rig.deleteTree(folder);
         boolean held = misdirected.isEmpty() && lost.isEmpty();
         Rig.end(held ? 0 : 1, held ? "held" : "broken: " + misdirected.size() + " messages went to an endpoint of another destination, "
                 + lost.size() + " never reached their own");
--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -27,6 +27,7 @@
     static final long START = System.nanoTime();
     private static final List<Process> PROCESSES = new CopyOnWriteArrayList<>();
     private static PrintStream record;
+    private static Path temporary;
 
     private Rig() { }
 
@@ -61,11 +62,24 @@
         }
     }
 
+    /** A folder for the node, which is deleted at the end of the case. */
+    static Path temporaryFolder() throws IOException {
+        temporary = Files.createTempDirectory("terndyke-review");
+        return temporary;
+    }
+
     /** Ends the case with the exit status that run.sh promises. */
-    static void end(int status, String verdict) {
+    static synchronized void end(int status, String verdict) {
         log("verdict: " + verdict + ", exit " + status);
         System.out.println(verdict);
         killAll();
+        try {
+            if (temporary != null) {
+                deleteTree(temporary);
+            }
+        } catch (IOException e) {
+            System.out.println("left behind: " + e.getMessage());
+        }
         Runtime.getRuntime().halt(status);
     }
 
@@ -83,7 +97,7 @@
         }
     }
 
-    static void deleteTree(Path folder) throws IOException {
+    private static void deleteTree(Path folder) throws IOException {
         try (Stream<Path> paths = Files.walk(folder)) {
             for (Path path : paths.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(path);
