Requests on all connections share one budget of memory, and heads and trailers are limited

Cause: each limit bounded one connection (64 header lines of 8 KiB, 64 KiB of body), none the sum of up to 384 connections, and the limits came from memory_mb while the heap is fixed at 36 MB.

Change: MemoryBudget, a sixth of the heap, holds what every connection keeps of an unfinished request (head, trailers, body) and what complete requests take until their responses are written. Past it the account that held most for longest is evicted: its client gets 503, also where it has written its request to the end by now, and the rest of its input is read and dropped, so that no reset destroys the answer. The last quarter is left to small messages. A head, or the trailers of a body, may have 8 KiB together (a head over it is answered 431). Records held have a fifth of the heap at most. /_counters shows request_memory_bytes (in use now), requests_evicted and refused_no_memory.

--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -29,6 +29,11 @@
         NOTICES_UNANSWERED, NOTICES_LATE,
         /** Reasons for which requests were refused before they were admitted. */
         REFUSED_LEAVING, REFUSED_READ_LATE, REFUSED_NO_ROOM, REFUSED_CROWDED, REFUSED_FLOODING, REFUSED_INBOX_FULL,
+        REFUSED_NO_MEMORY,
+        /** Bytes that clients' requests take at present, from their first byte to the end of their responses. */
+        REQUEST_MEMORY_BYTES,
+        /** Requests that were given up before they were read to their end, since all requests together took too much memory. */
+        REQUESTS_EVICTED,
         /** In microseconds: the longest turn of the decision thread, and the longest wait of a request for a turn. */
         LONGEST_TURN, LONGEST_WAIT,
         /** In microseconds: the longest time between a record's end and the platform's answer to its notice. */
--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -5,7 +5,8 @@
  * whole microseconds, sizes in bytes.
  */
 public record Limits(
-        int maxBodyBytes, int maxResponseBytes, int maxHeaderLineBytes, int maxHeaders, int maxIdChars, int ioBufferBytes,
+        int maxBodyBytes, int maxResponseBytes, int maxHeadBytes, int maxHeaders, int maxIdChars, int ioBufferBytes,
+        long maxRequestMemoryBytes, long maxResponseMemoryBytes,
         int maxClientConnections, int maxExcessClientConnections, int maxPendingConnections, int listenBacklog,
         int maxEndpointConnections, int maxConcurrentProbes,
         int requestQueueCapacity, int maxEventsPerTurn, int maxHeldRecords, long maxHeldBytes, int maxEndedRecords,
@@ -28,12 +29,24 @@
         long slowTurnThresholdMicros, long slowTurnLogIntervalMicros, long noticeDeadlineMicros, long noticeTimeoutMicros,
         long noticeRetryDelayMicros) {
 
+    private static final int REQUEST_MEMORY_DIVISOR = 6; // of the heap: requests on their way to the decision thread
+    private static final int RESPONSE_MEMORY_DIVISOR = 12; // of the heap: responses of endpoints and the platform
+    private static final int RECORD_MEMORY_DIVISOR = 5; // of the heap: records held
+
     /**
      * Divides the granted memory (MB), file descriptors and disk (MB) among the node's parts, within the delivery settings'
      * limits on concurrent calls (slots) and on records held. The connect and idle time-outs are in microseconds.
      */
     public static Limits fromResources(int memoryMb, int sockets, double diskMb, int slots, int maxPendingRecords,
             long connectTimeout, long idleTimeout) {
+        return fromResources(memoryMb, Runtime.getRuntime().maxMemory(), sockets, diskMb, slots, maxPendingRecords,
+                connectTimeout, idleTimeout);
+    }
+
+    /** Like {@link #fromResources(int, int, double, int, int, long, long)}, for a heap that is limited to the given bytes. */
+    static Limits fromResources(int memoryMb, long maxHeapBytes, int sockets, double diskMb, int slots, int maxPendingRecords,
+            long connectTimeout, long idleTimeout) {
+        long heapBytes = Math.min(memoryMb * 1_000_000L, maxHeapBytes);
         int descriptors = Math.max(64, sockets - 48); // 48 for the process itself: jar, selectors, journal, log
         int endpointConnections = Math.max(8, Math.min(descriptors / 2, 8 * slots));
         int pendingConnections = 16; // accepted by the listener, not yet handled
@@ -41,9 +54,10 @@
         long journalBytes = Math.max(64 << 10, (long) (diskMb * 1_000_000) - (16 << 10));
         int endedRecords = (int) Math.min(16 * 1024, journalBytes / 8 / 160);
         return new Limits(64 << 10, 2 << 20, 8 << 10, 64, 200, 4 << 10,
+                heapBytes / REQUEST_MEMORY_DIVISOR, heapBytes / RESPONSE_MEMORY_DIVISOR,
                 clientConnections * 7 / 8, clientConnections / 8, pendingConnections, 256, endpointConnections,
                 Math.max(4, endpointConnections / 8),
-                1024, 256, maxPendingRecords, memoryMb * 1_000_000L / 8, endedRecords,
+                1024, 256, maxPendingRecords, Math.min(memoryMb * 1_000_000L / 8, heapBytes / RECORD_MEMORY_DIVISOR), endedRecords,
                 journalBytes, journalBytes / 8,
                 connectTimeout, idleTimeout <= 0 ? 0 : idleTimeout * 4 / 5,
                 50_000, 250_000, 2_000_000, 60_000_000, 30_000, 50_000, 100_000, 1_000_000,
--- a/src/main/java/terndyke/node/http/ClientConnections.java
+++ b/src/main/java/terndyke/node/http/ClientConnections.java
@@ -1,34 +1,57 @@
 package terndyke.node.http;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.LongSupplier;
 
+import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
 
+import terndyke.node.Counters;
+import terndyke.node.Counters.Counter;
 import terndyke.node.Limits;
 
 /**
- * The clients' connections. Limits how many are open, and for how long each may be idle, be silent after connecting, or be
- * in the middle of a request. Used by the I/O thread alone, except for responses from other threads. Protects the node from
+ * The clients' connections. Limits how many are open, for how long each may be idle, be silent after connecting, or be in the
+ * middle of a request, and how much memory the requests on all of them take together. Used by the I/O thread alone, except for responses from other threads. Protects the node from
  * clients that never close their connections, connect without sending anything, or send half a request, and thereby also
  * from slow senders and leaked connections. The price: a well-behaved client that pauses for longer has to reconnect.
  */
 final class ClientConnections {
+    private static final String REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
     private final Limits limits;
     private final LongSupplier clock;
+    private final MemoryBudget requestMemory;
+    private final ByteBuffer discardBuffer;
     private final Set<ClientConnection> idleConnections = new LinkedHashSet<>(); // no request in progress; longest idle first
     private final Queue<ClientConnection> uncountedResponses = new ConcurrentLinkedQueue<>(); // by other threads
     private int openCount;
 
-    ClientConnections(Limits limits, LongSupplier clock) {
+    ClientConnections(Limits limits, LongSupplier clock, Counters counters) {
         this.limits = limits;
         this.clock = clock;
+        requestMemory = new MemoryBudget(limits.maxRequestMemoryBytes(), clock, counters, Counter.REQUEST_MEMORY_BYTES,
+                Counter.REQUESTS_EVICTED);
+        discardBuffer = ByteBuffer.allocate(limits.ioBufferBytes());
+    }
+
+    /** A request whose body is being read. */
+    interface IncompleteRequest {
+
+        /** The memory that the body takes. */
+        int bufferedBytes();
+
+        /** Refuses the request and drops what has been read of it; what follows is read and dropped as well. */
+        void refuse();
     }
 
     /** Accepts a client. At the limit an idle connection is closed for it; returns null if there is none to close. */
@@ -88,11 +111,91 @@
         private boolean requestReceived;
         private boolean closed;
         private int unansweredRequests;
+        private final MemoryBudget.Account memoryAccount = requestMemory.openAccount(this::refuseIncompleteRequest);
+        private final HeaderSize trailerSize = new HeaderSize(limits.maxHeadBytes());
+        private RequestHeadParser requestParser;
+        private IncompleteRequest incompleteRequest; // whose body is being read; null in a head and between requests
+        private boolean discarding; // all further input is read and dropped
+        private long discardedBytes;
 
         private ClientConnection(IOSession session) {
             this.session = session;
         }
 
+        /** Creates the parser for the heads of the requests on this connection. */
+        RequestHeadParser createRequestParser(Http1Config httpConfig) {
+            requestParser = new RequestHeadParser(httpConfig, limits.maxHeadBytes());
+            return requestParser;
+        }
+
+        /** The size of the trailers of the request that is being read. */
+        HeaderSize trailerSize() {
+            return trailerSize;
+        }
+
+        /** Called when the head of a request with a body has been read. */
+        void onBodyBegins(IncompleteRequest request) {
+            incompleteRequest = request;
+        }
+
+        /** Called when the input that had arrived has been processed: charges what is kept of a request that is not complete. */
+        void onInputProcessed() {
+            if (!closed && !discarding) {
+                int bodyBytes = incompleteRequest == null ? 0 : incompleteRequest.bufferedBytes() + trailerSize.memoryBytes();
+                memoryAccount.resize(requestParser.memoryBytes() + bodyBytes);
+            }
+        }
+
+        /** Reserves memory for a complete request until its response has been written; returns null if there is not enough. */
+        MemoryBudget.Reservation reserveMemory(long bytes) {
+            return requestMemory.reserve(bytes);
+        }
+
+        /**
+         * Gives up the request that is being read, since all requests together take too much memory. Its client gets a refusal
+         * even if it has written the request to its end by now.
+         */
+        private void refuseIncompleteRequest() {
+            if (incompleteRequest != null) {
+                IncompleteRequest refused = incompleteRequest;
+                incompleteRequest = null;
+                refused.refuse();
+            } else {
+                requestParser.abandon();
+                discarding = true;
+                writeRefusal();
+            }
+        }
+
+        /** Refuses a request whose head is incomplete. Behind requests that wait for their responses it is dropped unanswered. */
+        private void writeRefusal() {
+            if (unansweredRequests == 0) {
+                try {
+                    session.write(ByteBuffer.wrap(REFUSAL.getBytes(StandardCharsets.US_ASCII)));
+                } catch (IOException e) {
+                    close();
+                }
+            }
+        }
+
+        /** True if the connection's further input is to be passed to {@link #discardInput}. */
+        boolean isDiscarding() {
+            return discarding;
+        }
+
+        /**
+         * Reads and drops input, and closes the connection at the end of the input or once there is too much. A close while
+         * input arrives would reset the connection, and the reset could destroy the refusal before the client has read it.
+         */
+        void discardInput() throws IOException {
+            discardBuffer.clear();
+            int read = session.read(discardBuffer);
+            discardedBytes += Math.max(0, read);
+            if (read < 0 || discardedBytes > limits.maxDiscardedBodyBytes()) {
+                close();
+            }
+        }
+
         private void markIdle() {
             phaseStartedAt = clock.getAsLong();
             idleConnections.add(this);
@@ -145,6 +248,9 @@
 
         /** Called when a request has been read completely. */
         void onRequestComplete() {
+            incompleteRequest = null;
+            trailerSize.reset();
+            memoryAccount.resize(0);
             readingRequest = false;
             requestReceived = true;
             unansweredRequests++;
@@ -168,7 +274,9 @@
         /** Well-behaved clients send a request only after the last response, so that no request is partly read by now. */
         private void countResponse() {
             unansweredRequests = Math.max(0, unansweredRequests - 1);
-            if (unansweredRequests == 0 && !closed) {
+            if (unansweredRequests == 0 && discarding) {
+                close();
+            } else if (unansweredRequests == 0 && !closed) {
                 readingRequest = false;
                 markIdle();
             }
@@ -184,6 +292,8 @@
         void markClosed() {
             openCount -= closed ? 0 : 1;
             closed = true;
+            incompleteRequest = null;
+            memoryAccount.resize(0);
             idleConnections.remove(this);
         }
     }
--- a/src/main/java/terndyke/node/http/ClientRequestHandler.java
+++ b/src/main/java/terndyke/node/http/ClientRequestHandler.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -29,6 +30,10 @@
 
 /** Server side of the clients' interface: decodes each request once and submits it to the node, or rejects it if malformed. */
 public final class ClientRequestHandler {
+    private static final int REQUEST_OVERHEAD_BYTES = 4 << 10; // of a request without its body: head, exchange, response
+
+    private static final ByteBuffer EMPTY_BODY = ByteBuffer.allocate(0);
+
     private final Limits limits;
     private final Counters counters;
     private final List<String> grades;
@@ -66,14 +71,16 @@
         return new Exchange(clientConnection, overCapacity);
     }
 
-    private final class Exchange implements AsyncServerExchangeHandler, ClientRequest.Responder {
+    private final class Exchange implements AsyncServerExchangeHandler, ClientRequest.Responder,
+            ClientConnections.IncompleteRequest {
         private HttpRequest request;
         private ResponseChannel responseChannel;
         private HttpContext context;
-        private ByteBuffer requestBody = ByteBuffer.allocate(0);
+        private ByteBuffer requestBody = EMPTY_BODY;
         private ByteBuffer responseBody;
-        private boolean tooLarge;
-        private long discardedBytes; // bytes of a request body that is too large
+        private boolean discardingBody; // the response has been sent before the end of the body
+        private long discardedBytes;
+        private MemoryBudget.Reservation memoryReservation; // from the end of the request to that of its response
         private final AtomicBoolean responseSettled = new AtomicBoolean(); // response chosen, or client gone
         private ClientRequest clientRequest;
         private final ClientConnections.ClientConnection clientConnection;
@@ -90,6 +97,9 @@
             request = requestHead;
             responseChannel = channel;
             context = httpContext;
+            if (entity != null) {
+                clientConnection.onBodyBegins(this);
+            }
             if (entity != null && entity.getContentLength() > limits.maxBodyBytes()) {
                 rejectTooLarge();
             } else if (entity == null) {
@@ -100,11 +110,29 @@
         }
 
         private void rejectTooLarge() {
-            if (!tooLarge) {
-                tooLarge = true;
-                requestBody = ByteBuffer.allocate(0);
+            if (!discardingBody) {
                 counters.add(Counter.TOO_LARGE);
-                sendResponse(413, 0, true, null);
+                respondBeforeEndOfBody(413);
+            }
+        }
+
+        private void respondBeforeEndOfBody(int status) {
+            discardingBody = true;
+            requestBody = EMPTY_BODY;
+            sendResponse(status, 0, true, null);
+        }
+
+        @Override
+        public int bufferedBytes() {
+            return requestBody.capacity();
+        }
+
+        @Override
+        public void refuse() {
+            if (!discardingBody) {
+                counters.add(Counter.REFUSED_AT_DOOR);
+                counters.add(Counter.REFUSED_NO_MEMORY);
+                respondBeforeEndOfBody(503);
             }
         }
 
@@ -115,10 +143,10 @@
 
         @Override
         public void consume(ByteBuffer source) {
-            if (!tooLarge && requestBody.position() + source.remaining() > limits.maxBodyBytes()) {
+            if (!discardingBody && requestBody.position() + source.remaining() > limits.maxBodyBytes()) {
                 rejectTooLarge();
             }
-            if (tooLarge) {
+            if (discardingBody) {
                 discardedBytes += source.remaining();
                 source.position(source.limit());
                 if (discardedBytes > limits.maxDiscardedBodyBytes()) { // the response has been sent long before
@@ -126,9 +154,9 @@
                 }
             } else {
                 if (requestBody.remaining() < source.remaining()) {
-                    requestBody = ByteBuffer
-                            .allocate(Math.max(2 * requestBody.capacity(), requestBody.position() + source.remaining()))
-                            .put(requestBody.flip());
+                    int neededBytes = requestBody.position() + source.remaining();
+                    int newCapacity = Math.max(neededBytes, Math.min(2 * requestBody.capacity(), limits.maxBodyBytes()));
+                    requestBody = ByteBuffer.allocate(newCapacity).put(requestBody.flip());
                 }
                 requestBody.put(source);
             }
@@ -136,13 +164,15 @@
 
         @Override
         public void streamEnd(List<? extends Header> trailers) {
-            if (!tooLarge) {
+            if (!discardingBody) {
                 processRequest();
             }
         }
 
         private void processRequest() {
             clientConnection.onRequestComplete();
+            byte[] body = Arrays.copyOf(requestBody.array(), requestBody.position());
+            requestBody = EMPTY_BODY;
             String path = request.getPath();
             if (request.getMethod().equals("GET")) {
                 switch (path) {
@@ -154,7 +184,7 @@
             }
             counters.add(Counter.REQUESTS_IN);
             try {
-                clientRequest = decodeRequest(path);
+                clientRequest = decodeRequest(path, body);
                 Counter refusal = submitAndGetRefusal();
                 if (refusal != null) {
                     counters.add(Counter.REFUSED_AT_DOOR);
@@ -175,10 +205,14 @@
             if (clientConnection.hasTooManyPendingRequests()) {
                 return Counter.REFUSED_FLOODING;
             }
+            memoryReservation = clientConnection.reserveMemory(clientRequest.body().length + REQUEST_OVERHEAD_BYTES);
+            if (memoryReservation == null) {
+                return Counter.REFUSED_NO_MEMORY;
+            }
             return submitRequest.test(clientRequest) ? null : Counter.REFUSED_INBOX_FULL;
         }
 
-        private ClientRequest decodeRequest(String path) {
+        private ClientRequest decodeRequest(String path, byte[] body) {
             if (!request.getMethod().equals("POST")) {
                 throw new IllegalArgumentException("only POST hands a record in");
             }
@@ -209,8 +243,6 @@
                     || !idempotencyKey.chars().allMatch(ClientRequestHandler::isVisibleAscii))) {
                 throw new IllegalArgumentException("Idempotency-Key is too long or not plain");
             }
-            byte[] body = new byte[requestBody.flip().remaining()];
-            requestBody.get(body);
             return new ClientRequest(id, grade, tenant, parseKey(), (int) destination, idempotencyKey,
                     timeoutMillis * 1000, clientRetry != null, "again".equals(clientRetry), body, clock.getAsLong(), this);
         }
@@ -312,6 +344,9 @@
         @Override
         public void releaseResources() {
             failed((Exception) null);
+            if (memoryReservation != null) {
+                memoryReservation.close();
+            }
         }
     }
 
--- a/src/main/java/terndyke/node/http/CompleteLinesInputBuffer.java
+++ b/src/main/java/terndyke/node/http/CompleteLinesInputBuffer.java
@@ -9,19 +9,26 @@
 import org.apache.hc.core5.util.CharArrayBuffer;
 
 /**
- * Input buffer that returns a line only once its line terminator has been read. The library also ends a line at the end of
- * the input, so that a truncated status line, header or chunk size would count as a complete one.
+ * Input buffer that returns a line only once its line terminator has been read, and limits the size of all header lines of a
+ * message together. The library also ends a line at the end of the input, so that a truncated status line, header or chunk
+ * size would count as a complete one; and it limits only the length and the number of lines.
  */
 class CompleteLinesInputBuffer implements SessionInputBuffer {
     private final SessionInputBuffer input;
+    private final HeaderSize headerSize;
 
-    CompleteLinesInputBuffer(SessionInputBuffer input) {
+    CompleteLinesInputBuffer(SessionInputBuffer input, HeaderSize headerSize) {
         this.input = input;
+        this.headerSize = headerSize;
     }
 
     @Override
     public boolean readLine(CharArrayBuffer line, boolean endOfInput) throws IOException {
-        return input.readLine(line, false);
+        boolean complete = input.readLine(line, false);
+        if (complete) {
+            headerSize.add(line.length());
+        }
+        return complete;
     }
 
     @Override
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -179,7 +179,7 @@
 
         /** Creates the parser for the heads of the responses on this connection. */
         ResponseHeadParser createResponseParser(Http1Config httpConfig) {
-            responseParser = new ResponseHeadParser(httpConfig, new ResponseHeadParser.Listener() {
+            responseParser = new ResponseHeadParser(httpConfig, limits.maxHeadBytes(), new ResponseHeadParser.Listener() {
                 @Override
                 public void onStatusLine(int status) {
                     if (exchange != null) {
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -71,7 +71,7 @@
         this.limits = limits;
         this.counters = counters;
         this.log = log;
-        clientConnections = new ClientConnections(limits, () -> System.nanoTime() / 1000);
+        clientConnections = new ClientConnections(limits, () -> System.nanoTime() / 1000, counters);
         httpConfig = createHttpConfig(limits);
         responseWriterFactory = new DefaultHttpResponseWriterFactory(httpConfig);
         requestWriterFactory = new DefaultHttpRequestWriterFactory(httpConfig);
@@ -106,7 +106,7 @@
     }
 
     private static Http1Config createHttpConfig(Limits limits) {
-        return Http1Config.custom().setBufferSize(limits.ioBufferBytes()).setMaxLineLength(limits.maxHeaderLineBytes())
+        return Http1Config.custom().setBufferSize(limits.ioBufferBytes()).setMaxLineLength(limits.maxHeadBytes())
                 .setMaxHeaderCount(limits.maxHeaders()).setInitialWindowSize(limits.maxBodyBytes()).build();
     }
 
@@ -138,24 +138,30 @@
         @Override
         protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel, SessionInputBuffer buffer,
                 BasicHttpTransportMetrics metrics) throws HttpException {
-            return length == ContentLengthStrategy.CHUNKED ? new StrictChunkDecoder(channel, buffer, httpConfig, metrics)
+            return length == ContentLengthStrategy.CHUNKED
+                    ? new StrictChunkDecoder(channel, buffer, httpConfig, metrics, new HeaderSize(limits.maxHeadBytes()))
                     : super.createContentDecoder(length, channel, buffer, metrics);
         }
     }
 
     /** Requests and responses on a client's connection. */
     private final class InboundStreamDuplexer extends ServerHttp1StreamDuplexer {
-        InboundStreamDuplexer(ProtocolIOSession session, HandlerFactory<AsyncServerExchangeHandler> exchangeFactory,
-                Http1StreamListener listener) {
+        private final ClientConnections.ClientConnection clientConnection;
+
+        InboundStreamDuplexer(ProtocolIOSession session, ClientConnections.ClientConnection clientConnection,
+                HandlerFactory<AsyncServerExchangeHandler> exchangeFactory, Http1StreamListener listener) {
             super(session, HttpProcessorBuilder.create().build(), exchangeFactory, "http", httpConfig, CharCodingConfig.DEFAULT,
-                    DefaultConnectionReuseStrategy.INSTANCE, new RequestHeadParser(httpConfig), responseWriterFactory.create(),
+                    DefaultConnectionReuseStrategy.INSTANCE, clientConnection.createRequestParser(httpConfig),
+                    responseWriterFactory.create(),
                     DefaultContentLengthStrategy.INSTANCE, DefaultContentLengthStrategy.INSTANCE, listener, cause -> { });
+            this.clientConnection = clientConnection;
         }
 
         @Override
         protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel, SessionInputBuffer buffer,
                 BasicHttpTransportMetrics metrics) throws HttpException {
-            return length == ContentLengthStrategy.CHUNKED ? new StrictChunkDecoder(channel, buffer, httpConfig, metrics)
+            return length == ContentLengthStrategy.CHUNKED
+                    ? new StrictChunkDecoder(channel, buffer, httpConfig, metrics, clientConnection.trailerSize())
                     : super.createContentDecoder(length, channel, buffer, metrics);
         }
     }
@@ -200,8 +206,11 @@
         @Override
         public void inputReady(IOSession session, ByteBuffer source) throws IOException {
             clientConnection.onInput();
-            if (session.isOpen()) {
+            if (session.isOpen() && clientConnection.isDiscarding()) {
+                clientConnection.discardInput();
+            } else if (session.isOpen()) {
                 super.inputReady(session, source);
+                clientConnection.onInputProcessed();
             }
         }
 
@@ -249,7 +258,7 @@
                 clientConnection.onResponseComplete();
             }
         };
-        return new InboundEventHandler(clientConnection, new InboundStreamDuplexer(session,
+        return new InboundEventHandler(clientConnection, new InboundStreamDuplexer(session, clientConnection,
                 (request, context) -> requestHandler.createExchange(clientConnection, clientConnections.isOverCapacity()),
                 streamListener));
     }
--- a/src/main/java/terndyke/node/http/RequestHeadParser.java
+++ b/src/main/java/terndyke/node/http/RequestHeadParser.java
@@ -6,7 +6,9 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.ProtocolException;
+import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestFactory;
 import org.apache.hc.core5.http.impl.nio.DefaultHttpRequestParser;
@@ -23,34 +25,54 @@
 final class RequestHeadParser extends DefaultHttpRequestParser<HttpRequest> {
     private static final String CONTENT_LENGTH_PATTERN = "\\d{1,18}";
 
-    private boolean malformed;
+    private final HeaderSize headerSize;
+    private SessionInputBuffer input;
+    private boolean abandoned; // nothing that follows on the connection is read as a request
     private boolean requestLineRead; // the request line of a head that is not yet complete
 
-    RequestHeadParser(Http1Config httpConfig) {
+    RequestHeadParser(Http1Config httpConfig, int maxHeadBytes) {
         super(httpConfig, DefaultHttpRequestFactory.INSTANCE);
+        headerSize = new HeaderSize(maxHeadBytes);
     }
 
     /** A head is not ended by the end of the input: a client that stops inside one has handed in nothing. */
     @Override
     public HttpRequest parse(SessionInputBuffer buffer, boolean endOfInput) throws IOException, HttpException {
-        if (malformed) {
+        if (abandoned) {
             return null;
         }
+        input = buffer;
         try {
-            HttpRequest request = super.parse(new CompleteLinesInputBuffer(buffer), false);
+            HttpRequest request = super.parse(new CompleteLinesInputBuffer(buffer, headerSize), false);
             requestLineRead &= request == null;
             if (request != null) {
+                headerSize.reset();
                 checkBodyFraming(request);
             } else if (endOfInput && (requestLineRead || buffer.hasData())) {
                 throw new ProtocolException("the connection ended inside the head of a request");
             }
             return request;
+        } catch (MessageConstraintException e) {
+            abandon();
+            throw new RequestHeaderFieldsTooLargeException(e.getMessage(), e);
         } catch (HttpException e) {
-            malformed = true;
+            abandon();
             throw e;
         }
     }
 
+    /** Drops what has been read of a head; nothing that follows on the connection is read as a request. */
+    void abandon() {
+        abandoned = true;
+        headerSize.reset();
+        reset();
+    }
+
+    /** The memory that the head being read takes at most, with input that is not parsed yet. */
+    int memoryBytes() {
+        return headerSize.memoryBytes() + (input == null ? 0 : input.length());
+    }
+
     @Override
     protected HttpRequest createMessage(CharArrayBuffer line) throws HttpException {
         HttpRequest request = super.createMessage(line);
--- a/src/main/java/terndyke/node/http/ResponseHeadParser.java
+++ b/src/main/java/terndyke/node/http/ResponseHeadParser.java
@@ -19,6 +19,7 @@
     private static final String RETRY_AFTER_PREFIX = "retry-after:";
 
     private final Listener listener;
+    private final HeaderSize headerSize;
     private SessionInputBuffer input;
     private boolean statusLineRead; // the status line of a head that is not yet complete
 
@@ -35,9 +36,10 @@
         void onTruncatedHead(ResponseDefect defect);
     }
 
-    ResponseHeadParser(Http1Config httpConfig, Listener listener) {
+    ResponseHeadParser(Http1Config httpConfig, int maxHeadBytes, Listener listener) {
         super(httpConfig, DefaultHttpResponseFactory.INSTANCE);
         this.listener = listener;
+        headerSize = new HeaderSize(maxHeadBytes);
     }
 
     /**
@@ -49,6 +51,9 @@
         input = buffer;
         HttpResponse response = super.parse(new InspectingInputBuffer(buffer), false);
         statusLineRead &= response == null;
+        if (response != null) {
+            headerSize.reset();
+        }
         if (response == null && endOfInput && hasLeftoverBytes()) {
             inspectTruncatedLine();
             listener.onTruncatedHead(statusLineRead ? ResponseDefect.CUT_IN_HEAD : ResponseDefect.CUT_IN_FIRST_LINE);
@@ -70,6 +75,11 @@
         return statusLineRead || input != null && input.hasData();
     }
 
+    /** The memory that the head being read takes at most, with input that is not parsed yet. */
+    int memoryBytes() {
+        return headerSize.memoryBytes() + (input == null ? 0 : input.length());
+    }
+
     /** Looks for Retry-After in a line of the head; the library gives the headers out only when the head is complete. */
     private void inspectLine(CharArrayBuffer line) {
         if (statusLineRead && line.length() > RETRY_AFTER_PREFIX.length()
@@ -92,7 +102,7 @@
     /** Input buffer that passes each complete line to {@link #inspectLine}. */
     private final class InspectingInputBuffer extends CompleteLinesInputBuffer {
         InspectingInputBuffer(SessionInputBuffer input) {
-            super(input);
+            super(input, headerSize);
         }
 
         @Override
--- a/src/main/java/terndyke/node/http/StrictChunkDecoder.java
+++ b/src/main/java/terndyke/node/http/StrictChunkDecoder.java
@@ -13,14 +13,17 @@
 /**
  * Decoder for a chunked body that is complete only once the whole line of its last chunk has been read. The library takes
  * the end of the input for the end of a chunk size, so that a body truncated after the first digit of {@code 0a} would count
- * as complete.
+ * as complete. The trailers together are limited like the header lines of a head.
  */
 final class StrictChunkDecoder extends ChunkDecoder {
+    private final HeaderSize trailerSize;
     private boolean endOfInput;
 
+    /** Creates a decoder that adds the lines after the last data to the given size, which has to be used by it alone. */
     StrictChunkDecoder(ReadableByteChannel channel, SessionInputBuffer buffer, Http1Config httpConfig,
-            BasicHttpTransportMetrics metrics) {
-        super(channel, new CompleteLinesInputBuffer(buffer), httpConfig, metrics);
+            BasicHttpTransportMetrics metrics, HeaderSize trailerSize) {
+        super(channel, new CompleteLinesInputBuffer(buffer, trailerSize), httpConfig, metrics);
+        this.trailerSize = trailerSize;
     }
 
     @Override
@@ -33,6 +36,9 @@
     @Override
     public int read(ByteBuffer to) throws IOException {
         int read = super.read(to);
+        if (read > 0) {
+            trailerSize.reset(); // the lines before the data were chunk sizes, which are not kept
+        }
         if (read <= 0 && endOfInput && !isCompleted()) {
             throw new ConnectionClosedException("the connection ended inside a chunked body");
         }
--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -23,6 +23,7 @@
 final class TestNodeProcess implements AutoCloseable {
     private static final Pattern RUN_COMMAND_PATTERN = Pattern.compile("(?s)\\nrun = \"\"\"(.*?)\"\"\"");
     private static final int TIMEOUT_MILLIS = 10_000;
+    private static final int DEFAULT_DESCRIPTORS = 256;
     private static final String SETTINGS = """
             {"balancers":1,"rank":0,"zone":0,"dcs":["east"],"kinds":["a"],"discovery":"push","weightSource":"off",
              "resolution":0.005,"overShareWorth":0.1,"familyInfo":{"callsOut":4,"kindApart":[false],"perCall":[1]},
@@ -58,9 +59,13 @@
 
     /** Writes a configuration with an empty endpoint list. */
     static Path writeConfiguration(Path folder, String listen, String discovery) throws IOException {
+        return writeConfiguration(folder, listen, discovery, DEFAULT_DESCRIPTORS);
+    }
+
+    private static Path writeConfiguration(Path folder, String listen, String discovery, int descriptors) throws IOException {
         return Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"listen\":\"" + listen
-                + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":192,\"sockets\":256,"
-                + "\"disk_mb\":3},\"known\":{},\"settings\":" + SETTINGS + "}");
+                + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":192,\"sockets\":"
+                + descriptors + ",\"disk_mb\":3},\"known\":{},\"settings\":" + SETTINGS + "}");
     }
 
     /** Starts a node from a shell that runs the given commands first. */
@@ -78,8 +83,13 @@
 
     /** Starts a node that uses discovery at the given address, and waits until it serves. */
     static TestNodeProcess startServing(Path folder, String discovery) throws IOException {
+        return startServing(folder, discovery, DEFAULT_DESCRIPTORS);
+    }
+
+    /** Starts a node that may hold as many file descriptors, and waits until it serves. */
+    static TestNodeProcess startServing(Path folder, String discovery, int descriptors) throws IOException {
         String listen = freeAddress();
-        TestNodeProcess node = start(folder, "", writeConfiguration(folder, listen, discovery), listen);
+        TestNodeProcess node = start(folder, "", writeConfiguration(folder, listen, discovery, descriptors), listen);
         node.awaitLog("serving on");
         return node;
     }
@@ -100,18 +110,23 @@
     /** Waits until the node has counted as many deliveries. */
     void awaitDeliveries(int count) throws IOException, InterruptedException {
         long deadline = System.nanoTime() + TIMEOUT_MILLIS * 1_000_000L;
-        while (deliveries() < count) {
+        while (counter("ended_done") < count) {
             assertTrue(System.nanoTime() < deadline, "the node has not counted " + count + " deliveries");
             Thread.sleep(10);
         }
     }
 
-    private int deliveries() throws IOException {
+    /** The value of one of the node's counters; 0 if it is not listed. */
+    int counter(String name) throws IOException {
         String counters = sendRaw("GET /_counters HTTP/1.1\r\nHost: n0\r\nConnection: close\r\n\r\n", true);
-        Matcher matcher = Pattern.compile("(?m)^ended_done (\\d+)$").matcher(counters);
+        Matcher matcher = Pattern.compile("(?m)^" + name + " (\\d+)$").matcher(counters);
         return matcher.find() ? Integer.parseInt(matcher.group(1)) : 0;
     }
 
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     void sendHangup() throws IOException, InterruptedException {
         sendSignal("HUP");
     }
--- a/src/test/java/terndyke/node/http/ClientConnectionsTest.java
+++ b/src/test/java/terndyke/node/http/ClientConnectionsTest.java
@@ -18,6 +18,7 @@
 import org.apache.hc.core5.util.Timeout;
 import org.junit.jupiter.api.Test;
 
+import terndyke.node.Counters;
 import terndyke.node.Limits;
 
 /** Limits and timeouts of clients' connections, with a clock set by the test and without sockets. */
@@ -26,7 +27,7 @@
     private final Set<IOSession> closed = new HashSet<>();
     private final Map<IOSession, Long> timeouts = new HashMap<>();
     private long now = 1_000_000;
-    private final ClientConnections clientConnections = new ClientConnections(limits, () -> now);
+    private final ClientConnections clientConnections = new ClientConnections(limits, () -> now, new Counters());
 
     private IOSession createSession() {
         return (IOSession) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {IOSession.class},
