Incomplete responses share one budget of memory; only the platform sends long ones

What callers would see: endpoints of many destinations that send heads without an end at the same time end the I/O thread with an OutOfMemoryError; after that no client is answered and what was taken on is lost.

Cause: a response head might have 64 lines of 8 KiB, and the sum over all connections to endpoints had no bound. The body of an answer to a probe was kept up to 2 MB, as if it were a list.

Change: a MemoryBudget of a twelfth of the heap for all incomplete responses. Past it the response that held most for longest is given up: its call counts as one that may have run, response defect UNREADABLE, as for any unreadable answer. Calls to the platform count and are never given up for it, so that no endpoint can displace a list or a notice. Heads and trailers have 8 KiB together; only the platform's bodies may be longer than 64 KiB. /_counters shows response_memory_bytes and responses_evicted.

--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -34,6 +34,10 @@
         REQUEST_MEMORY_BYTES,
         /** Requests that were given up before they were read to their end, since all requests together took too much memory. */
         REQUESTS_EVICTED,
+        /** Bytes that incomplete responses of endpoints and the platform take at present. */
+        RESPONSE_MEMORY_BYTES,
+        /** Responses that were given up before they were read to their end, since all together took too much memory. */
+        RESPONSES_EVICTED,
         /** In microseconds: the longest turn of the decision thread, and the longest wait of a request for a turn. */
         LONGEST_TURN, LONGEST_WAIT,
         /** In microseconds: the longest time between a record's end and the platform's answer to its notice. */
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -65,6 +65,7 @@
     private final NodeLog log;
     private final LongSupplier clock;
     private final CopyWindow copyWindow;
+    private final MemoryBudget responseMemory;
     private final HoldUpDetector holdUpDetector;
     private final Consumer<PooledConnection> releaseListener;
     private final Map<Peer, Deque<PooledConnection>> idleConnections = new HashMap<>();
@@ -80,6 +81,8 @@
         this.log = log;
         this.clock = clock;
         copyWindow = new CopyWindow(limits, () -> System.nanoTime() / 1000);
+        responseMemory = new MemoryBudget(limits.maxResponseMemoryBytes(), () -> System.nanoTime() / 1000, counters,
+                Counter.RESPONSE_MEMORY_BYTES, Counter.RESPONSES_EVICTED);
         this.holdUpDetector = holdUpDetector;
         this.releaseListener = releaseListener;
     }
@@ -99,19 +102,20 @@
     public static final class Peer {
         private final InetSocketAddress address;
         private final AtomicLong retryAfterReceivedAt; // last Retry-After of any peer of the destination
-        private boolean exemptFromLimit; // may connect although the maximum of connections is open
+        private boolean platform; // its connections and responses are exempt from the limits on those of endpoints
         private ConnectionReuse connectionReuse = ConnectionReuse.WITHOUT_EXPECTED_COPIES;
         private boolean removed;
         private final DeliveryTimes deliveryTimes = new DeliveryTimes();
 
         /**
-         * A peer of the platform, whose few calls are exempt from the limit on connections. Otherwise endpoints that
-         * never respond could occupy all connections and block notices and the watch. The limits set sockets aside for it.
+         * A peer of the platform, whose few calls are exempt from the limits on connections and on the memory of responses.
+         * Otherwise endpoints that never respond, or never end their responses, could block notices and the watch. The limits
+         * set sockets and memory aside for it.
          * Each call has a connection of its own, on which no late copy of an earlier response can come.
          */
         public static Peer forPlatform(InetSocketAddress address) {
             Peer peer = new Peer(address);
-            peer.exemptFromLimit = true;
+            peer.platform = true;
             peer.connectionReuse = ConnectionReuse.NEVER;
             return peer;
         }
@@ -170,11 +174,34 @@
         private volatile long requestEndOffset = Long.MAX_VALUE; // total bytes sent once the current request is written
         private boolean countedAsOpen = true;
         private ResponseHeadParser responseParser;
+        private final HeaderSize trailerSize = new HeaderSize(limits.maxHeadBytes());
+        private final MemoryBudget.Account memoryAccount;
         private boolean readingInput;
         private boolean firstCall = true; // the current call is the first on this connection
 
         private PooledConnection(Peer peer) {
             this.peer = peer;
+            memoryAccount = peer.platform ? responseMemory.openProtectedAccount()
+                    : responseMemory.openAccount(this::abandonResponse);
+        }
+
+        /** Gives up the response that is being read, since all responses together take too much memory. */
+        private void abandonResponse() {
+            Exchange currentExchange = exchange;
+            if (currentExchange != null && !currentExchange.completed) {
+                currentExchange.defect = ResponseDefect.UNREADABLE;
+                currentExchange.failed(null);
+            }
+        }
+
+        /** The size of the trailers of the response that is being read. */
+        HeaderSize trailerSize() {
+            return trailerSize;
+        }
+
+        /** Called on the I/O thread when the connection has been closed. */
+        void onDisconnected() {
+            memoryAccount.resize(0);
         }
 
         /** Creates the parser for the heads of the responses on this connection. */
@@ -294,8 +321,17 @@
                     session.close(CloseMode.IMMEDIATE);
                 }
                 currentExchange.releaseConnection();
+                trailerSize.reset();
+                memoryAccount.resize(0);
             } else if (currentExchange != null) {
                 currentExchange.onPartialResponse();
+                chargePartialResponse(currentExchange);
+            }
+        }
+
+        private void chargePartialResponse(Exchange currentExchange) {
+            if (!currentExchange.completed) {
+                memoryAccount.resize(responseParser.memoryBytes() + trailerSize.memoryBytes() + currentExchange.bufferedBytes());
             }
         }
 
@@ -345,7 +381,7 @@
             }
             discard(connection);
         }
-        if (openCount >= limits.maxEndpointConnections() && !peer.exemptFromLimit && !closeOldestIdle()) {
+        if (openCount >= limits.maxEndpointConnections() && !peer.platform && !closeOldestIdle()) {
             return null;
         }
         PooledConnection connection = new PooledConnection(peer);
@@ -742,8 +778,7 @@
             } else if (response.getCode() == 200) {
                 responseBody = ByteBuffer.allocate(limits.ioBufferBytes());
             }
-            int maxBytes = responseBody == null ? limits.maxBodyBytes() : limits.maxResponseBytes();
-            if (entity != null && entity.getContentLength() > maxBytes) {
+            if (entity != null && entity.getContentLength() > maxResponseBodyBytes()) {
                 throw new IOException("response body is too large");
             }
             if (entity == null) {
@@ -788,6 +823,16 @@
                     pooledConnection.closeAfterCall && pooledConnection.firstCall, defect);
         }
 
+        /** Only the platform sends long responses: its lists. */
+        private int maxResponseBodyBytes() {
+            return responseBody != null && pooledConnection.peer.platform ? limits.maxResponseBytes() : limits.maxBodyBytes();
+        }
+
+        /** The memory that the part of the body takes which has been read. */
+        private int bufferedBytes() {
+            return responseBody == null ? 0 : responseBody.capacity();
+        }
+
         @Override
         public void updateCapacity(CapacityChannel channel) throws IOException {
             channel.update(Integer.MAX_VALUE);
@@ -798,7 +843,7 @@
             if (responseBody != null && !resultDelivered) {
                 if (responseBody.remaining() < source.remaining()) {
                     int newCapacity = Math.max(2 * responseBody.capacity(), responseBody.position() + source.remaining());
-                    if (newCapacity > limits.maxResponseBytes()) {
+                    if (newCapacity > maxResponseBodyBytes()) {
                         throw new IOException("response body is too large");
                     }
                     responseBody = ByteBuffer.allocate(newCapacity).put(responseBody.flip());
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -128,18 +128,21 @@
 
     /** Requests and responses on an outbound connection. */
     private final class OutboundStreamDuplexer extends ClientHttp1StreamDuplexer {
+        private final ConnectionPool.PooledConnection pooledConnection;
+
         OutboundStreamDuplexer(ProtocolIOSession session, ConnectionPool.PooledConnection pooledConnection) {
             super(session, HttpProcessorBuilder.create().build(), httpConfig, CharCodingConfig.DEFAULT,
                     DefaultConnectionReuseStrategy.INSTANCE, pooledConnection.createResponseParser(httpConfig),
                     requestWriterFactory.create(),
                     DefaultContentLengthStrategy.INSTANCE, DefaultContentLengthStrategy.INSTANCE, null);
+            this.pooledConnection = pooledConnection;
         }
 
         @Override
         protected ContentDecoder createContentDecoder(long length, ReadableByteChannel channel, SessionInputBuffer buffer,
                 BasicHttpTransportMetrics metrics) throws HttpException {
             return length == ContentLengthStrategy.CHUNKED
-                    ? new StrictChunkDecoder(channel, buffer, httpConfig, metrics, new HeaderSize(limits.maxHeadBytes()))
+                    ? new StrictChunkDecoder(channel, buffer, httpConfig, metrics, pooledConnection.trailerSize())
                     : super.createContentDecoder(length, channel, buffer, metrics);
         }
     }
@@ -192,6 +195,12 @@
                 }
             }
         }
+
+        @Override
+        public void disconnected(IOSession session) {
+            super.disconnected(session);
+            pooledConnection.onDisconnected();
+        }
     }
 
     /** I/O events of a client's connection. */
--- a/src/test/java/terndyke/RequestMemoryProcessTest.java
+++ b/src/test/java/terndyke/RequestMemoryProcessTest.java
@@ -20,7 +20,6 @@
 
 /** A node with the memory flags of production, and clients whose requests together would take more memory than it has. */
 class RequestMemoryProcessTest {
-    private static final int DESCRIPTORS = 1_024;
     private static final long MISUSE_MILLIS = 4_000;
     private static final long MESSAGE_TIMEOUT_MILLIS = 5_000;
     private static final long MESSAGE_INTERVAL_MILLIS = 50;
@@ -41,7 +40,7 @@
             return Response.complete(ProcessTestSupport.OK);
         }); RawServer platform = new RawServer(request -> ProcessTestSupport.answerPlatform(request, endpoint.address(), 1,
                 notice -> deliveredOrNotified.add(ProcessTestSupport.noticeId(notice))));
-                TestNodeProcess node = TestNodeProcess.startServing(folder, platform.address(), DESCRIPTORS)) {
+                TestNodeProcess node = TestNodeProcess.startServingAtFullSize(folder, platform.address())) {
             HostileClients clients = HostileClients.start(node.port(), misuse, clientCount, MISUSE_MILLIS);
             List<String> accepted = submitWhileRunning(node, clients);
             clients.awaitEnd();
--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -23,7 +23,9 @@
 final class TestNodeProcess implements AutoCloseable {
     private static final Pattern RUN_COMMAND_PATTERN = Pattern.compile("(?s)\\nrun = \"\"\"(.*?)\"\"\"");
     private static final int TIMEOUT_MILLIS = 10_000;
-    private static final int DEFAULT_DESCRIPTORS = 256;
+    private static final int SMALL_DESCRIPTORS = 256;
+    private static final int FULL_DESCRIPTORS = 1_024;
+    private static final int FULL_CONCURRENT_CALLS = 33;
     private static final String SETTINGS = """
             {"balancers":1,"rank":0,"zone":0,"dcs":["east"],"kinds":["a"],"discovery":"push","weightSource":"off",
              "resolution":0.005,"overShareWorth":0.1,"familyInfo":{"callsOut":4,"kindApart":[false],"perCall":[1]},
@@ -59,13 +61,14 @@
 
     /** Writes a configuration with an empty endpoint list. */
     static Path writeConfiguration(Path folder, String listen, String discovery) throws IOException {
-        return writeConfiguration(folder, listen, discovery, DEFAULT_DESCRIPTORS);
+        return writeConfiguration(folder, listen, discovery, SMALL_DESCRIPTORS, SETTINGS);
     }
 
-    private static Path writeConfiguration(Path folder, String listen, String discovery, int descriptors) throws IOException {
+    private static Path writeConfiguration(Path folder, String listen, String discovery, int descriptors, String settings)
+            throws IOException {
         return Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"listen\":\"" + listen
                 + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":192,\"sockets\":"
-                + descriptors + ",\"disk_mb\":3},\"known\":{},\"settings\":" + SETTINGS + "}");
+                + descriptors + ",\"disk_mb\":3},\"known\":{},\"settings\":" + settings + "}");
     }
 
     /** Starts a node from a shell that runs the given commands first. */
@@ -81,15 +84,20 @@
         return new TestNodeProcess(builder.start(), port(listen));
     }
 
-    /** Starts a node that uses discovery at the given address, and waits until it serves. */
+    /** Starts a small node that uses discovery at the given address, and waits until it serves. */
     static TestNodeProcess startServing(Path folder, String discovery) throws IOException {
-        return startServing(folder, discovery, DEFAULT_DESCRIPTORS);
+        String listen = freeAddress();
+        return awaitServing(start(folder, "", writeConfiguration(folder, listen, discovery), listen));
     }
 
-    /** Starts a node that may hold as many file descriptors, and waits until it serves. */
-    static TestNodeProcess startServing(Path folder, String discovery, int descriptors) throws IOException {
+    /** Starts a node with as many descriptors and concurrent calls as production grants at most, and waits until it serves. */
+    static TestNodeProcess startServingAtFullSize(Path folder, String discovery) throws IOException {
         String listen = freeAddress();
-        TestNodeProcess node = start(folder, "", writeConfiguration(folder, listen, discovery, descriptors), listen);
+        String settings = SETTINGS.replace("\"callsOut\":4", "\"callsOut\":" + FULL_CONCURRENT_CALLS);
+        return awaitServing(start(folder, "", writeConfiguration(folder, listen, discovery, FULL_DESCRIPTORS, settings), listen));
+    }
+
+    private static TestNodeProcess awaitServing(TestNodeProcess node) throws IOException {
         node.awaitLog("serving on");
         return node;
     }
