A node that loses a thread exits at once with status 70 and the reason

Cause: nothing watched the I/O, accept and decision threads. The I/O and accept threads are daemons whose end went unseen; without the decision thread, which keeps the process alive, the JVM ran the shutdown hook and halted with 0.

Change: a FatalErrorHandler hears when one of the three threads ends while the node is not closing; the program logs the thread and its error and halts with 70. This is a net, and mends none of the causes.

--- a/src/main/java/terndyke/Main.java
+++ b/src/main/java/terndyke/Main.java
@@ -31,6 +31,7 @@
 public final class Main {
     private static final int EXIT_BAD_INPUT = 2;
     private static final int EXIT_BAD_USAGE = 64;
+    private static final int EXIT_THREAD_ENDED = 70;
 
     private Main() { }
 
@@ -120,8 +121,9 @@
             NodeConfiguration.StartupOptions options = new NodeConfiguration.StartupOptions(serveOptions.config,
                     serveOptions.name, serveOptions.listen, serveOptions.discovery, serveOptions.state);
             NodeConfiguration configuration = NodeConfiguration.read(options);
-            DeliveryNode node = new DeliveryNode(configuration,
-                    new NodeLog(System.out, configuration.name(), serveOptions.trace));
+            NodeLog log = new NodeLog(System.out, configuration.name(), serveOptions.trace);
+            DeliveryNode node = new DeliveryNode(configuration, log,
+                    (threadName, cause) -> exitAfterThreadEnded(log, threadName, cause));
             reload.complete(() -> node.reloadConfiguration(options));
             Thread shutdownHook = new Thread(() -> {
                 node.close();
@@ -140,6 +142,18 @@
         }
     }
 
+    /**
+     * Ends the process at once, so that it is started again and takes up what it owes. Without its thread the node would keep
+     * its port open and answer nobody, or end with status 0.
+     */
+    private static void exitAfterThreadEnded(NodeLog log, String threadName, Throwable cause) {
+        try {
+            log.warn("thread " + threadName + " ended, the process exits with status " + EXIT_THREAD_ENDED + ": " + cause);
+        } finally {
+            Runtime.getRuntime().halt(EXIT_THREAD_ENDED);
+        }
+    }
+
     /**
      * Runs the laboratory. It has a jar of its own beside this one, so that no node ever loads or opens any part of it. On
      * a class path of directories it is loaded directly.
--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -21,6 +21,7 @@
 public final class DeliveryNode implements AutoCloseable {
     private final NodeConfiguration configuration;
     private final NodeLog log;
+    private final FatalErrorHandler fatalErrorHandler;
     private final Counters counters = new Counters();
     private Reactor reactor;
     private Journal journal;
@@ -31,9 +32,17 @@
     private volatile boolean shuttingDown;
     private volatile InetSocketAddress reloadedDiscoveryAddress; // from the last configuration reload, or null
 
+    /** Creates a node that logs if one of its threads ends with an error; it does not serve any more then. */
     public DeliveryNode(NodeConfiguration configuration, NodeLog log) {
+        this(configuration, log, (threadName, cause) -> log.warn("thread " + threadName + " ended, the node serves no more: "
+                + cause));
+    }
+
+    /** Creates a node; the handler is told if one of its threads ends with an error. */
+    public DeliveryNode(NodeConfiguration configuration, NodeLog log, FatalErrorHandler fatalErrorHandler) {
         this.configuration = configuration;
         this.log = log;
+        this.fatalErrorHandler = fatalErrorHandler;
     }
 
     /** Restores the unfinished records of the previous run from the journal, and serves clients from then on. */
@@ -58,7 +67,7 @@
         rejectedEntries.forEach(text -> log.warn("known list: " + text));
         RecordStore recordStore = new RecordStore(journal, limits, counters, log);
         Collection<TrackedRecord> restoredRecords = recordStore.restore(entries);
-        reactor = new Reactor(limits, counters, log);
+        reactor = new Reactor(limits, counters, log, fatalErrorHandler);
         reactor.start();
         decisionLoop = new DecisionLoop(configuration, reactor, endpointRegistry, recordStore, clock, counters, log);
         if (reloadedDiscoveryAddress != null) {
@@ -67,6 +76,7 @@
         }
         decisionLoop.restore(knownList, restoredRecords);
         decisionThread = new Thread(decisionLoop, "terndyke-desk");
+        decisionThread.setUncaughtExceptionHandler((thread, cause) -> fatalErrorHandler.onThreadEnded(thread.getName(), cause));
         decisionThread.start();
         requestHandler = new ClientRequestHandler(limits, counters, configuration.gradeNames(), configuration.tenantNames(),
                 clock::now, () -> ready && !shuttingDown, decisionLoop::offerRequest,
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -47,6 +47,7 @@
 
 import terndyke.node.Counters;
 import terndyke.node.Counters.Counter;
+import terndyke.node.FatalErrorHandler;
 import terndyke.node.Limits;
 import terndyke.node.NodeLog;
 
@@ -63,11 +64,14 @@
     private final Http1Config httpConfig;
     private final DefaultHttpResponseWriterFactory responseWriterFactory;
     private final Semaphore connectionPermits; // one for each client's connection, from accept to close
+    private final FatalErrorHandler fatalErrorHandler;
     private volatile Thread acceptThread;
     private volatile ClientRequestHandler requestHandler;
     private volatile boolean closing;
 
-    public Reactor(Limits limits, Counters counters, NodeLog log) {
+    /** Creates a reactor; the handler is told if one of its threads ends before {@link #close}. */
+    public Reactor(Limits limits, Counters counters, NodeLog log, FatalErrorHandler fatalErrorHandler) {
+        this.fatalErrorHandler = fatalErrorHandler;
         this.limits = limits;
         this.counters = counters;
         this.log = log;
@@ -110,12 +114,24 @@
                 .setMaxHeaderCount(limits.maxHeaders()).setInitialWindowSize(limits.maxBodyBytes()).build();
     }
 
-    private static Thread createDaemonThread(Runnable task, String name) {
-        Thread thread = new Thread(task, name);
+    private Thread createDaemonThread(Runnable task, String name) {
+        Thread thread = new Thread(() -> runUntilClosed(task, name), name);
         thread.setDaemon(true);
         return thread;
     }
 
+    private void runUntilClosed(Runnable task, String threadName) {
+        Throwable cause = null;
+        try {
+            task.run();
+        } catch (Throwable e) { // a node without this thread only looks alive, whatever ended it
+            cause = e;
+        }
+        if (!closing) {
+            fatalErrorHandler.onThreadEnded(threadName, cause);
+        }
+    }
+
     private IOEventHandler createEventHandler(ProtocolIOSession session, Object attachment) {
         if (attachment instanceof ConnectionPool.PooledConnection pooledConnection) {
             ClientHttp1IOEventHandler handler = new OutboundEventHandler(pooledConnection,
--- a/src/test/java/terndyke/ServeProcessTest.java
+++ b/src/test/java/terndyke/ServeProcessTest.java
@@ -23,6 +23,8 @@
 
 /** Signals and file descriptors of a node that runs as a process of its own. */
 class ServeProcessTest {
+    private static final int EXIT_THREAD_ENDED = 70;
+
     @TempDir
     Path folder;
 
@@ -71,6 +73,22 @@
         }
     }
 
+    /**
+     * Guards against a process that has lost a thread, answers nobody and is never started again. Direct memory for less than one
+     * read from a socket lets the I/O thread fail as soon as it reads.
+     */
+    @Test
+    @Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aProcessWhoseIoThreadEndsWithAnErrorExitsAtOnceWithItsStatus() throws Exception {
+        String listen = TestNodeProcess.freeAddress();
+        try (RawServer platform = new RawServer(request -> RawServer.Response.json("{\"rev\":1,\"all\":true,\"targets\":[]}"));
+                TestNodeProcess node = startNode("export _JAVA_OPTIONS=-XX:MaxDirectMemorySize=4k; ",
+                        TestNodeProcess.writeConfiguration(folder, listen, platform.address()), listen)) {
+            node.awaitLog("thread terndyke-io ended");
+            assertEquals(EXIT_THREAD_ENDED, node.awaitExit());
+        }
+    }
+
     /** More clients connect at once, and stay idle, than the node may open descriptors. */
     @Test
     @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -165,6 +165,12 @@
         assertTrue(process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
     }
 
+    /** Waits until the process has ended by itself; returns its exit status. */
+    int awaitExit() throws InterruptedException {
+        assertTrue(process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
+        return process.exitValue();
+    }
+
     void assertCleanExit() throws InterruptedException {
         process.destroy();
         assertTrue(process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -564,7 +564,7 @@
     @Test
     void recordsOfferedUntilTheDecisionLoopEndsAreAllAnswered() throws Exception {
         Counters counters = new Counters();
-        Reactor reactor = new Reactor(configuration().limits(), counters, NO_LOG);
+        Reactor reactor = new Reactor(configuration().limits(), counters, NO_LOG, (threadName, cause) -> { });
         DecisionLoop decisionLoop = createDecisionLoop(reactor, counters, configuration(3, 1024));
         reactor.start();
         AtomicInteger acceptedCount = new AtomicInteger();
@@ -609,7 +609,7 @@
     /** Offers records to a decision loop before its first turn and runs it to its end; returns the answer to each client. */
     private List<String> runOneTurn(ClientRequest... requests) throws Exception {
         Counters counters = new Counters();
-        Reactor reactor = new Reactor(configuration().limits(), counters, NO_LOG);
+        Reactor reactor = new Reactor(configuration().limits(), counters, NO_LOG, (threadName, cause) -> { });
         // with "ask" the loop does not wait for a list from discovery before its first turn
         DecisionLoop decisionLoop = createDecisionLoop(reactor, counters, configuration(3, 1024).replace("\"push\"", "\"ask\""));
         reactor.start();
--- a/src/test/java/terndyke/node/discovery/WatchTest.java
+++ b/src/test/java/terndyke/node/discovery/WatchTest.java
@@ -54,7 +54,7 @@
         discovery = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
         discovery.setSoTimeout(20_000);
         Counters counters = new Counters();
-        reactor = new Reactor(limits, counters, NodeFixtures.NO_LOG);
+        reactor = new Reactor(limits, counters, NodeFixtures.NO_LOG, (threadName, cause) -> { });
         reactor.start();
         connectionPool = new ConnectionPool(reactor, limits, counters, NodeFixtures.NO_LOG, () -> now,
                 new HoldUpDetector(() -> now, Long.MAX_VALUE), freedConnections::add);
--- a/src/test/java/terndyke/node/http/ConnectionPoolTest.java
+++ b/src/test/java/terndyke/node/http/ConnectionPoolTest.java
@@ -56,7 +56,7 @@
         endpoint = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
         endpoint.setSoTimeout(5_000);
         peer = new ConnectionPool.Peer(endpointAddress());
-        reactor = new Reactor(limits, counters, log);
+        reactor = new Reactor(limits, counters, log, (name, cause) -> { });
         reactor.start();
         connectionPool = new ConnectionPool(reactor, limits, counters, log, () -> 0, holdUpDetector,
                 releasedConnections::add);
--- a/src/test/java/terndyke/node/stage/DecisionLoopTest.java
+++ b/src/test/java/terndyke/node/stage/DecisionLoopTest.java
@@ -59,7 +59,7 @@
         try (ServerSocket silentDiscovery = new ServerSocket(0)) {
             NodeConfiguration configuration = NodeFixtures.configuration(folder,
                     new InetSocketAddress("127.0.0.1", silentDiscovery.getLocalPort()));
-            Reactor reactor = new Reactor(configuration.limits(), counters, NodeFixtures.NO_LOG);
+            Reactor reactor = new Reactor(configuration.limits(), counters, NodeFixtures.NO_LOG, (threadName, cause) -> { });
             reactor.start();
             RecordStore recordStore = new RecordStore(
                     Journal.open(folder, configuration.limits().maxJournalBytes(), NodeFixtures.NO_LOG, new ArrayList<>()),
