A request stays unread until the one before it on its connection is answered

Also, of 100 requests that a client sends at once before it ends its sending, one was answered.

Cause: from the ninth unanswered request on they were refused, but still read: each kept its exchange, head and response until all responses before it were written. A second place showed with the first mended: the memory metric stayed high, and a log line at each eviction named connections with 97 KB unparsed each. For one event of the selector the library reads all that the system has received into a buffer that grows without a bound.

Change: one request at a time is read on a connection. What waits behind it stays unread; reading is suspended (reads_suspended) and goes on when the response has been written. ReadLimitedSession bounds what is read in one pass on clients' and endpoints' connections to one head. A request's memory is given back when the decision thread has answered or dropped it. The end of the input is no longer seen before the requests in front of it are answered, and with one request at a time a response with "Connection: close" drops no other request that has been read.

REFUSED_FLOODING is gone with what it counted.

--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -28,9 +28,11 @@
         /** Calls with notices that failed or were not answered in time, and notices answered only after their deadline. */
         NOTICES_UNANSWERED, NOTICES_LATE,
         /** Reasons for which requests were refused before they were admitted. */
-        REFUSED_LEAVING, REFUSED_READ_LATE, REFUSED_NO_ROOM, REFUSED_CROWDED, REFUSED_FLOODING, REFUSED_INBOX_FULL,
+        REFUSED_LEAVING, REFUSED_READ_LATE, REFUSED_NO_ROOM, REFUSED_CROWDED, REFUSED_INBOX_FULL,
         REFUSED_NO_MEMORY,
-        /** Bytes that clients' requests take at present, from their first byte to the end of their responses. */
+        /** Pauses in reading from a client that has sent a request before it got the response to the one before. */
+        READS_SUSPENDED,
+        /** Bytes that clients' requests take at present, from their first byte until the decision thread has answered them. */
         REQUEST_MEMORY_BYTES,
         /** Requests that were given up before they were read to their end, since all requests together took too much memory. */
         REQUESTS_EVICTED,
--- a/src/main/java/terndyke/node/http/ClientConnections.java
+++ b/src/main/java/terndyke/node/http/ClientConnections.java
@@ -30,6 +30,7 @@
 
     private final Limits limits;
     private final LongSupplier clock;
+    private final Counters counters;
     private final MemoryBudget requestMemory;
     private final ByteBuffer discardBuffer;
     private final Set<ClientConnection> idleConnections = new LinkedHashSet<>(); // no request in progress; longest idle first
@@ -39,6 +40,7 @@
     ClientConnections(Limits limits, LongSupplier clock, Counters counters) {
         this.limits = limits;
         this.clock = clock;
+        this.counters = counters;
         requestMemory = new MemoryBudget(limits.maxRequestMemoryBytes(), clock, counters, Counter.REQUEST_MEMORY_BYTES,
                 Counter.REQUESTS_EVICTED);
         discardBuffer = ByteBuffer.allocate(limits.ioBufferBytes());
@@ -115,6 +117,8 @@
         private final HeaderSize trailerSize = new HeaderSize(limits.maxHeadBytes());
         private RequestHeadParser requestParser;
         private IncompleteRequest incompleteRequest; // whose body is being read; null in a head and between requests
+        private volatile boolean readingSuspended; // a request waits unread until a response has been written
+        private long unreadSince; // reading was suspended then, and not all that waited has been read since; or 0
         private boolean discarding; // all further input is read and dropped
         private long discardedBytes;
 
@@ -124,7 +128,7 @@
 
         /** Creates the parser for the heads of the requests on this connection. */
         RequestHeadParser createRequestParser(Http1Config httpConfig) {
-            requestParser = new RequestHeadParser(httpConfig, limits.maxHeadBytes());
+            requestParser = new RequestHeadParser(httpConfig, limits.maxHeadBytes(), this::mayBeginRequest);
             return requestParser;
         }
 
@@ -138,12 +142,20 @@
             incompleteRequest = request;
         }
 
+        /** The number of bytes that have been received on this connection and not parsed. */
+        int unparsedBytes() {
+            return requestParser.unparsedBytes();
+        }
+
         /** Called when the input that had arrived has been processed: charges what is kept of a request that is not complete. */
         void onInputProcessed() {
             if (!closed && !discarding) {
                 int bodyBytes = incompleteRequest == null ? 0 : incompleteRequest.bufferedBytes() + trailerSize.memoryBytes();
                 memoryAccount.resize(requestParser.memoryBytes() + bodyBytes);
             }
+            if (!closed && !suspendReading()) {
+                unreadSince = 0;
+            }
         }
 
         /** Reserves memory for a complete request until its response has been written; returns null if there is not enough. */
@@ -157,9 +169,7 @@
          */
         private void refuseIncompleteRequest() {
             if (incompleteRequest != null) {
-                IncompleteRequest refused = incompleteRequest;
-                incompleteRequest = null;
-                refused.refuse();
+                incompleteRequest.refuse();
             } else {
                 requestParser.abandon();
                 discarding = true;
@@ -257,9 +267,57 @@
             session.setSocketTimeout(Timeout.DISABLED); // every complete request is answered, however late
         }
 
-        /** True if more requests await their responses on this connection than are allowed to be pipelined. */
-        boolean hasTooManyPendingRequests() {
-            return unansweredRequests > limits.maxPipelinedRequests();
+        /**
+         * False while a request awaits its response: a request sent behind it stays unread until then. Each request that is read
+         * takes memory until its response and all those before it have been written, and a client may send any number at once.
+         */
+        private boolean mayBeginRequest() {
+            return unansweredRequests == 0;
+        }
+
+        /**
+         * Suspends reading if a request waits unread, until {@link #resumeReading}. Without one, reading goes on, so that the node
+         * notices if the client leaves before its response. Returns true if nothing is to be read now.
+         */
+        boolean suspendReading() {
+            if (!readingSuspended && !discarding && isRequestWaitingUnread()) {
+                unreadSince = unreadSince != 0 ? unreadSince : clock.getAsLong();
+                readingRequest = false;
+                readingSuspended = true;
+                session.setSocketTimeout(Timeout.DISABLED);
+                counters.add(Counter.READS_SUSPENDED);
+            }
+            if (readingSuspended) {
+                session.clearEvent(SelectionKey.OP_READ);
+                if (!uncountedResponses.isEmpty()) {
+                    session.setEvent(SelectionKey.OP_WRITE); // their thread may not have seen that reading is suspended
+                }
+            }
+            return readingSuspended;
+        }
+
+        private boolean isRequestWaitingUnread() {
+            boolean insideRequest = requestParser.isInsideHead() || incompleteRequest != null;
+            return !insideRequest && !mayBeginRequest() && requestParser.unparsedBytes() > 0;
+        }
+
+        /**
+         * Called when responses have been written. Returns true if the input that waits unread is to be processed now; the
+         * system reports only input that arrives later.
+         */
+        boolean resumeReading() {
+            countResponsesOfOtherThreads();
+            if (!readingSuspended || closed || !mayBeginRequest()) {
+                return false;
+            }
+            readingSuspended = false;
+            session.setEvent(SelectionKey.OP_READ);
+            return true;
+        }
+
+        /** For how long the request that has just been read may have waited unread, in microseconds. */
+        long unreadMicros() {
+            return unreadSince == 0 ? 0 : clock.getAsLong() - unreadSince;
         }
 
         /** Called by any thread when a response is complete; it is counted by the thread that owns the connections. */
@@ -268,6 +326,9 @@
                 countResponse();
             } else {
                 uncountedResponses.add(this);
+                if (readingSuspended) {
+                    session.setEvent(SelectionKey.OP_WRITE); // wakes up the owner thread, which resumes reading
+                }
             }
         }
 
--- a/src/main/java/terndyke/node/http/ClientRequest.java
+++ b/src/main/java/terndyke/node/http/ClientRequest.java
@@ -23,5 +23,8 @@
 
         /** Responds with any other status. */
         void failed(int status);
+
+        /** The client has disconnected, and the node has dropped its request: there is no response. */
+        default void withdrawn() { }
     }
 }
--- a/src/main/java/terndyke/node/http/ClientRequestHandler.java
+++ b/src/main/java/terndyke/node/http/ClientRequestHandler.java
@@ -80,7 +80,7 @@
         private ByteBuffer responseBody;
         private boolean discardingBody; // the response has been sent before the end of the body
         private long discardedBytes;
-        private MemoryBudget.Reservation memoryReservation; // from the end of the request to that of its response
+        private MemoryBudget.Reservation memoryReservation; // for the request, until the node has handled it
         private final AtomicBoolean responseSettled = new AtomicBoolean(); // response chosen, or client gone
         private ClientRequest clientRequest;
         private final ClientConnections.ClientConnection clientConnection;
@@ -202,8 +202,8 @@
             if (overCapacity) {
                 return Counter.REFUSED_CROWDED;
             }
-            if (clientConnection.hasTooManyPendingRequests()) {
-                return Counter.REFUSED_FLOODING;
+            if (clientConnection.unreadMicros() > limits.maxAdmissionDelayMicros()) {
+                return Counter.REFUSED_READ_LATE;
             }
             memoryReservation = clientConnection.reserveMemory(clientRequest.body().length + REQUEST_OVERHEAD_BYTES);
             if (memoryReservation == null) {
@@ -244,7 +244,8 @@
                 throw new IllegalArgumentException("Idempotency-Key is too long or not plain");
             }
             return new ClientRequest(id, grade, tenant, parseKey(), (int) destination, idempotencyKey,
-                    timeoutMillis * 1000, clientRetry != null, "again".equals(clientRetry), body, clock.getAsLong(), this);
+                    timeoutMillis * 1000, clientRetry != null, "again".equals(clientRetry), body,
+                    clock.getAsLong() - clientConnection.unreadMicros(), this);
         }
 
         /** The value of a header that may occur once, or null if it is absent. */
@@ -290,7 +291,19 @@
             sendResponse(status, 0, false, null);
         }
 
+        @Override
+        public void withdrawn() {
+            releaseMemory();
+        }
+
+        private void releaseMemory() {
+            if (memoryReservation != null) {
+                memoryReservation.close();
+            }
+        }
+
         private void sendResponse(int status, long retryAfterMicros, boolean closeConnection, String bodyText) {
+            releaseMemory();
             if (!responseSettled.compareAndSet(false, true)) {
                 return;
             }
@@ -344,9 +357,6 @@
         @Override
         public void releaseResources() {
             failed((Exception) null);
-            if (memoryReservation != null) {
-                memoryReservation.close();
-            }
         }
     }
 
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -194,6 +194,11 @@
             }
         }
 
+        /** The number of bytes that have been received on this connection and not parsed. */
+        int unparsedBytes() {
+            return responseParser.unparsedBytes();
+        }
+
         /** The size of the trailers of the response that is being read. */
         HeaderSize trailerSize() {
             return trailerSize;
--- a/src/main/java/terndyke/node/http/MemoryBudget.java
+++ b/src/main/java/terndyke/node/http/MemoryBudget.java
@@ -9,7 +9,7 @@
 
 /**
  * Bounds the memory that messages take together on all connections until they are processed. Each connection has an
- * {@link Account} for the message that is being read on it; complete messages that wait for their response hold a
+ * {@link Account} for the message that is being read on it; complete messages that wait to be processed hold a
  * {@link Reservation}. If accounts grow past the capacity, those that have held the most for the longest are evicted. Accounts
  * belong to the I/O thread; reservations may be released by any thread.
  */
@@ -69,11 +69,6 @@
         return true;
     }
 
-    /** True while large messages, too, still find memory. */
-    synchronized boolean hasRoom() {
-        return usedBytes < capacityBytes - capacityBytes / SMALL_MESSAGE_RESERVE_DIVISOR;
-    }
-
     synchronized long usedBytes() {
         return usedBytes;
     }
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -114,6 +114,11 @@
                 .setMaxHeaderCount(limits.maxHeaders()).setInitialWindowSize(limits.maxBodyBytes()).build();
     }
 
+    /** One byte more than the longest line, so that a full buffer either holds a line or shows that one is too long. */
+    private int maxUnparsedBytes() {
+        return limits.maxHeadBytes() + 1;
+    }
+
     private Thread createDaemonThread(Runnable task, String name) {
         Thread thread = new Thread(() -> runUntilClosed(task, name), name);
         thread.setDaemon(true);
@@ -134,8 +139,9 @@
 
     private IOEventHandler createEventHandler(ProtocolIOSession session, Object attachment) {
         if (attachment instanceof ConnectionPool.PooledConnection pooledConnection) {
-            ClientHttp1IOEventHandler handler = new OutboundEventHandler(pooledConnection,
-                    new OutboundStreamDuplexer(session, pooledConnection));
+            ReadLimitedSession limitedSession = new ReadLimitedSession(session);
+            ClientHttp1IOEventHandler handler = new OutboundEventHandler(pooledConnection, limitedSession,
+                    new OutboundStreamDuplexer(limitedSession, pooledConnection));
             pooledConnection.onConnected(session, handler);
             return handler;
         }
@@ -186,12 +192,15 @@
     }
 
     /** I/O events of an outbound connection. */
-    private static final class OutboundEventHandler extends ClientHttp1IOEventHandler {
+    private final class OutboundEventHandler extends ClientHttp1IOEventHandler {
         private final ConnectionPool.PooledConnection pooledConnection;
+        private final ReadLimitedSession limitedSession;
 
-        OutboundEventHandler(ConnectionPool.PooledConnection pooledConnection, ClientHttp1StreamDuplexer duplexer) {
+        OutboundEventHandler(ConnectionPool.PooledConnection pooledConnection, ReadLimitedSession limitedSession,
+                ClientHttp1StreamDuplexer duplexer) {
             super(duplexer);
             this.pooledConnection = pooledConnection;
+            this.limitedSession = limitedSession;
         }
 
         @Override
@@ -204,6 +213,7 @@
         @Override
         public void inputReady(IOSession session, ByteBuffer source) throws IOException {
             if (pooledConnection.beginInput()) {
+                limitedSession.beginPass(maxUnparsedBytes() - pooledConnection.unparsedBytes());
                 try {
                     super.inputReady(session, source);
                 } finally {
@@ -222,18 +232,25 @@
     /** I/O events of a client's connection. */
     private final class InboundEventHandler extends ServerHttp1IOEventHandler {
         private final ClientConnections.ClientConnection clientConnection;
+        private final ReadLimitedSession limitedSession;
 
-        InboundEventHandler(ClientConnections.ClientConnection clientConnection, ServerHttp1StreamDuplexer duplexer) {
+        InboundEventHandler(ClientConnections.ClientConnection clientConnection, ReadLimitedSession limitedSession,
+                ServerHttp1StreamDuplexer duplexer) {
             super(duplexer);
             this.clientConnection = clientConnection;
+            this.limitedSession = limitedSession;
         }
 
         @Override
         public void inputReady(IOSession session, ByteBuffer source) throws IOException {
+            if (clientConnection.suspendReading()) {
+                return;
+            }
             clientConnection.onInput();
             if (session.isOpen() && clientConnection.isDiscarding()) {
                 clientConnection.discardInput();
             } else if (session.isOpen()) {
+                limitedSession.beginPass(maxUnparsedBytes() - clientConnection.unparsedBytes());
                 super.inputReady(session, source);
                 clientConnection.onInputProcessed();
             }
@@ -249,6 +266,9 @@
                 clientConnection.writePendingResponses();
                 super.outputReady(session);
             } while (clientConnection.hasPendingResponses());
+            if (session.isOpen() && clientConnection.resumeReading()) {
+                inputReady(session, null);
+            }
         }
 
         @Override
@@ -283,7 +303,8 @@
                 clientConnection.onResponseComplete();
             }
         };
-        return new InboundEventHandler(clientConnection, new InboundStreamDuplexer(session, clientConnection,
+        ReadLimitedSession limitedSession = new ReadLimitedSession(session);
+        return new InboundEventHandler(clientConnection, limitedSession, new InboundStreamDuplexer(limitedSession, clientConnection,
                 (request, context) -> requestHandler.createExchange(clientConnection, clientConnections.isOverCapacity()),
                 streamListener));
     }
--- a/src/main/java/terndyke/node/http/RequestHeadParser.java
+++ b/src/main/java/terndyke/node/http/RequestHeadParser.java
@@ -1,6 +1,7 @@
 package terndyke.node.http;
 
 import java.io.IOException;
+import java.util.function.BooleanSupplier;
 
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
@@ -26,12 +27,15 @@
     private static final String CONTENT_LENGTH_PATTERN = "\\d{1,18}";
 
     private final HeaderSize headerSize;
+    private final BooleanSupplier mayBeginRequest;
     private SessionInputBuffer input;
     private boolean abandoned; // nothing that follows on the connection is read as a request
     private boolean requestLineRead; // the request line of a head that is not yet complete
 
-    RequestHeadParser(Http1Config httpConfig, int maxHeadBytes) {
+    /** Creates a parser that leaves a request unread in the input while mayBeginRequest denies it. */
+    RequestHeadParser(Http1Config httpConfig, int maxHeadBytes, BooleanSupplier mayBeginRequest) {
         super(httpConfig, DefaultHttpRequestFactory.INSTANCE);
+        this.mayBeginRequest = mayBeginRequest;
         headerSize = new HeaderSize(maxHeadBytes);
     }
 
@@ -42,6 +46,9 @@
             return null;
         }
         input = buffer;
+        if (!requestLineRead && !mayBeginRequest.getAsBoolean()) {
+            return null;
+        }
         try {
             HttpRequest request = super.parse(new CompleteLinesInputBuffer(buffer, headerSize), false);
             requestLineRead &= request == null;
@@ -68,9 +75,19 @@
         reset();
     }
 
+    /** True while the head of a request is being read. */
+    boolean isInsideHead() {
+        return requestLineRead;
+    }
+
+    /** The number of bytes that have been received and not parsed. */
+    int unparsedBytes() {
+        return input == null ? 0 : input.length();
+    }
+
     /** The memory that the head being read takes at most, with input that is not parsed yet. */
     int memoryBytes() {
-        return headerSize.memoryBytes() + (input == null ? 0 : input.length());
+        return headerSize.memoryBytes() + unparsedBytes();
     }
 
     @Override
--- a/src/main/java/terndyke/node/http/ResponseHeadParser.java
+++ b/src/main/java/terndyke/node/http/ResponseHeadParser.java
@@ -75,9 +75,14 @@
         return statusLineRead || input != null && input.hasData();
     }
 
+    /** The number of bytes that have been received and not parsed. */
+    int unparsedBytes() {
+        return input == null ? 0 : input.length();
+    }
+
     /** The memory that the head being read takes at most, with input that is not parsed yet. */
     int memoryBytes() {
-        return headerSize.memoryBytes() + (input == null ? 0 : input.length());
+        return headerSize.memoryBytes() + unparsedBytes();
     }
 
     /** Looks for Retry-After in a line of the head; the library gives the headers out only when the head is complete. */
--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -369,6 +369,7 @@
             recordStore.endRecord(record, JournalEntry.RecordOutcome.WITHDRAWN, 0);
             decisionStage.addEvent(new Event.RecordWithdrawn(record.entry.number()));
         }
+        request.responder().withdrawn();
     }
 
     private boolean isDiscoveryResolved() {
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -47,6 +47,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -322,6 +324,35 @@
         assertEquals("r-1", pollNext(receivedCalls).id());
     }
 
+    /** Guards against requests that stay unread, or unanswered, once reading from their client has been suspended. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void allRequestsThatAreSentAtOnceAreAnswered(boolean halfClose) throws Exception {
+        startNode(3);
+        int requestCount = 100;
+        StringBuilder requests = new StringBuilder();
+        for (int i = 1; i <= requestCount; i++) {
+            requests.append(requestHead("r-" + i, "Content-Length: 5")).append("hello");
+        }
+        int answerCount = 0;
+        try (Socket client = new Socket(listenAddress.getAddress(), listenAddress.getPort())) {
+            client.setSoTimeout((int) TIMEOUT.toMillis());
+            client.getOutputStream().write(requests.toString().getBytes(StandardCharsets.US_ASCII));
+            if (halfClose) {
+                client.shutdownOutput();
+            }
+            BufferedReader answers = new BufferedReader(new InputStreamReader(client.getInputStream(), StandardCharsets.US_ASCII));
+            String line = "";
+            while (line != null && answerCount < requestCount) {
+                line = answers.readLine();
+                answerCount += line != null && line.matches("HTTP/1.1 (202|503).*") ? 1 : 0;
+            }
+        }
+        assertEquals(requestCount, answerCount);
+        assertTrue(node.counters().get(Counter.READS_SUSPENDED) > 0, "the requests did not come at once");
+        assertEquals(0, node.counters().get(Counter.REQUEST_MEMORY_BYTES));
+    }
+
     @Test
     void aRequestAfterAMalformedOneOnTheSameConnectionIsNotRead() throws Exception {
         responseStatus = call -> NO_RESPONSE;
