A call that has not begun is cancelled once a list says its endpoint drains or is gone

Some 700 ms after discovery had told the change a call began on a connection that had come up late, at whoever was at the address by then. The same way calls began at endpoints that had left, and at draining ones past their grace.

Cause: the endpoint of a call was checked when the call was decided on, and not again. removePeer closed idle connections and marked those with a result; a call whose connection was coming up went on for up to the connect timeout. Draining told the pool nothing at all.

Change: each list names the peers that were removed (left, missing from a whole list, moved to another address, or listed for another destination) and those that drain. Calls to them of which nothing has been sent are cancelled and reported as NOT_SENT at once, so that the module sends the message elsewhere in the time that it has left, whatever its grade; the slot is free, and nothing is held against the endpoint, as for any call that was not sent. The first byte and the cancellation claim the call by one compare-and-set, so that a call is cancelled or sent and never both. A call to a removed peer is refused before its first byte as well.

--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -23,6 +23,8 @@
         ANSWERS_DOUBTFUL,
         /** Messages that are reported although they were counted as delivered, since another answer followed the one that said so. */
         DELIVERIES_UNCERTAIN,
+        /** Calls that were not sent since a list said, before their first byte, that their endpoint drains, moved or is gone. */
+        CALLS_CANCELLED_BY_LIST,
         /** Deliveries before the request was written, or on a kept connection much sooner than the endpoint's others. */
         DELIVERIES_EARLY,
         /** Calls with notices that failed or were not answered in time, and notices answered only after their deadline. */
--- a/src/main/java/terndyke/node/discovery/EndpointRegistry.java
+++ b/src/main/java/terndyke/node/discovery/EndpointRegistry.java
@@ -27,6 +27,7 @@
     private final Map<Integer, AtomicLong> lastRetryAfterByDestination = new HashMap<>(); // when Retry-After last came
     private final Set<Endpoint> goneEndpoints = new LinkedHashSet<>(); // the one gone longest comes first
     private final List<ConnectionPool.Peer> removedPeers = new ArrayList<>();
+    private final List<ConnectionPool.Peer> drainingPeers = new ArrayList<>();
     private long version;
     private long lastNumber = -1;
 
@@ -137,6 +138,13 @@
         return removed;
     }
 
+    /** Returns and clears the peers whose endpoints were listed as draining since the last call. */
+    public List<ConnectionPool.Peer> pollDrainingPeers() {
+        List<ConnectionPool.Peer> draining = List.copyOf(drainingPeers);
+        drainingPeers.clear();
+        return draining;
+    }
+
     /**
      * Evicts the endpoints that went before the given time and, above the given count, those gone longest. Guards
      * against unbounded growth when lists always bring new endpoints. An evicted endpoint that is listed again counts as
@@ -195,6 +203,8 @@
         goneEndpoints.remove(endpoint);
         if (state == EndpointState.GONE) {
             markGone(endpoint, now);
+        } else if (state == EndpointState.DRAINING) {
+            drainingPeers.add(endpoint.peer);
         }
         byUid.put(uid, endpoint);
         byNumber.put(endpoint.number, endpoint);
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -104,7 +105,7 @@
         private final AtomicLong retryAfterReceivedAt; // last Retry-After of any peer of the destination
         private boolean platform; // its connections and responses are exempt from the limits on those of endpoints
         private ConnectionReuse connectionReuse = ConnectionReuse.WITHOUT_EXPECTED_COPIES;
-        private boolean removed;
+        private volatile boolean removed;
         private final DeliveryTimes deliveryTimes = new DeliveryTimes();
 
         /**
@@ -491,12 +492,27 @@
                 .forEach(connection -> connection.exchange.withheld = true);
     }
 
-    /** Called when a peer is gone from its address: none of its connections is used again. */
+    /**
+     * Called when a peer is gone from its address, or another one may be there: none of its connections is used again, and no
+     * call to it starts any more.
+     */
     public void removePeer(Peer peer) {
         peer.removed = true;
+        cancelUnstartedCalls(peer);
         closeIdle(peer);
     }
 
+    /**
+     * Cancels the calls to a peer of which nothing has been sent, most of them on connections that are still coming up. Each is
+     * reported as not sent at once, and its connection is closed.
+     */
+    public void cancelUnstartedCalls(Peer peer) {
+        List<PooledConnection> cancelled = busyConnections.stream().filter(connection -> connection.peer == peer
+                && connection.exchange != null && connection.exchange.cancelBeforeStart()).toList();
+        counters.add(Counter.CALLS_CANCELLED_BY_LIST, cancelled.size());
+        cancelled.forEach(this::discard);
+    }
+
     /**
      * Closes the idle connections to a peer, and marks those whose result has been delivered to be closed on release. The
      * owner thread may process a result before the I/O thread releases its connection, which would otherwise stay open
@@ -504,7 +520,7 @@
      */
     public void closeIdle(Peer peer) {
         busyConnections.stream().filter(connection -> connection.peer == peer && connection.exchange != null
-                        && connection.exchange.resultDelivered)
+                        && connection.exchange.resultDelivered.get())
                 .forEach(connection -> connection.closeAfterCall = true);
         Deque<PooledConnection> idle = idleConnections.remove(peer);
         if (idle != null) {
@@ -570,12 +586,13 @@
         private int status; // from the status line, known before the head is complete; 0 before that
         private long retryAfterMicros; // from its header line, known before the head is complete
         private ByteBuffer responseBody;
+        private final AtomicBoolean startOrCancelClaimed = new AtomicBoolean(); // by whichever comes first
         private volatile boolean requestStarted;
         private long requestStartedAt; // on System.nanoTime(), in microseconds
         private volatile boolean withheld;
         private final long inputKnownUntil;
         private boolean deferredOnce; // one pass over all connections has been made since the call was queued
-        private volatile boolean resultDelivered;
+        private final AtomicBoolean resultDelivered = new AtomicBoolean();
         private volatile boolean completed;
         private boolean released;
         private int discardedBytes; // bytes of the response body that were not kept
@@ -596,8 +613,7 @@
         }
 
         void deliverResult(Call.Result result) {
-            if (!resultDelivered) {
-                resultDelivered = true;
+            if (resultDelivered.compareAndSet(false, true)) {
                 countDefect(result.defect());
                 resultListener.onResult(result);
             }
@@ -701,13 +717,19 @@
             }
         }
 
+        /** True if what has happened since the call was decided on forbids it to start. */
+        private boolean isOvertaken() {
+            return withheld || pooledConnection.peer.removed
+                    || pooledConnection.peer.retryAfterReceivedAt.get() > inputKnownUntil
+                    || clock.getAsLong() >= call.startDeadline();
+        }
+
         @Override
         public void produceRequest(RequestChannel channel, HttpContext context)
                 throws HttpException, IOException {
-            if (withheld || pooledConnection.peer.retryAfterReceivedAt.get() > inputKnownUntil
-                    || clock.getAsLong() >= call.startDeadline()) {
+            if (isOvertaken() || !startOrCancelClaimed.compareAndSet(false, true)) {
                 deliverResult(Call.Result.withoutResponse(Ending.NOT_SENT)); // the connection, or this thread, was too late
-                throw new IOException("request not sent: withheld, or past its start deadline");
+                throw new IOException("request not sent: cancelled, withheld, or past its start deadline");
             }
             BasicHttpRequest request = new BasicHttpRequest(call.method(), call.path());
             int headBytes = call.method().length() + call.path().length() + " ".length() + " HTTP/1.1\r\n".length() + 2;
@@ -845,7 +867,7 @@
 
         @Override
         public void consume(ByteBuffer source) throws IOException {
-            if (responseBody != null && !resultDelivered) {
+            if (responseBody != null && !resultDelivered.get()) {
                 if (responseBody.remaining() < source.remaining()) {
                     int newCapacity = Math.max(2 * responseBody.capacity(), responseBody.position() + source.remaining());
                     if (newCapacity > maxResponseBodyBytes()) {
@@ -887,6 +909,15 @@
             return isDoubtful() ? Ending.RECALLED : Ending.RESET;
         }
 
+        /** Called by the owner thread: cancels the call, and returns true, unless its request has been started. */
+        boolean cancelBeforeStart() {
+            boolean cancelled = startOrCancelClaimed.compareAndSet(false, true);
+            if (cancelled) {
+                deliverResult(Call.Result.withoutResponse(Ending.NOT_SENT));
+            }
+            return cancelled;
+        }
+
         /** Its connection is lost before the request was started; stray bytes are the reason why, and say nothing of the endpoint. */
         void failBeforeStart(boolean strayBytes) {
             if (strayBytes) {
@@ -916,7 +947,7 @@
 
         @Override
         public void releaseResources() {
-            if (!resultDelivered) {
+            if (!resultDelivered.get()) {
                 failed(null);
             }
         }
--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -307,6 +307,7 @@
                 log.trace(now, "list", ((Event.ListReceived) listEvent).entries().size());
                 decisionStage.addEvent(listEvent);
                 endpointRegistry.pollRemovedPeers().forEach(connectionPool::removePeer);
+                endpointRegistry.pollDrainingPeers().forEach(connectionPool::cancelUnstartedCalls);
             }
         } else if (event instanceof LoopEvent.DiscoveryAddressChanged addressChanged) {
             watch.changeDiscoveryAddress(addressChanged.address());
--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -26,6 +26,7 @@
     private static final int SMALL_DESCRIPTORS = 256;
     private static final int FULL_DESCRIPTORS = 1_024;
     private static final int FULL_CONCURRENT_CALLS = 33;
+    private static final double FULL_CONNECT_TIMEOUT_SECONDS = 1.5;
     private static final String SETTINGS = """
             {"balancers":1,"rank":0,"zone":0,"dcs":["east"],"kinds":["a"],"discovery":"push","weightSource":"off",
              "resolution":0.005,"overShareWorth":0.1,"familyInfo":{"callsOut":4,"kindApart":[false],"perCall":[1]},
@@ -90,10 +91,11 @@
         return awaitServing(start(folder, "", writeConfiguration(folder, listen, discovery), listen));
     }
 
-    /** Starts a node with as many descriptors and concurrent calls as production grants at most, and waits until it serves. */
+    /** Starts a node with as many descriptors and concurrent calls, and as long a connect timeout, as production has at most. */
     static TestNodeProcess startServingAtFullSize(Path folder, String discovery) throws IOException {
         String listen = freeAddress();
-        String settings = SETTINGS.replace("\"callsOut\":4", "\"callsOut\":" + FULL_CONCURRENT_CALLS);
+        String settings = SETTINGS.replace("\"callsOut\":4", "\"callsOut\":" + FULL_CONCURRENT_CALLS)
+                .replace("\"connectTimeout\":0.5", "\"connectTimeout\":" + FULL_CONNECT_TIMEOUT_SECONDS);
         return awaitServing(start(folder, "", writeConfiguration(folder, listen, discovery, FULL_DESCRIPTORS, settings), listen));
     }
 
--- a/src/test/java/terndyke/node/discovery/EndpointRegistryTest.java
+++ b/src/test/java/terndyke/node/discovery/EndpointRegistryTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -66,6 +67,19 @@
         assertEquals(1, endpointRegistry.pollRemovedPeers().size());
     }
 
+    /** Guards against calls that still start at an endpoint after the list has said that it drains. */
+    @Test
+    void endpointThatDrainsIsReportedWithItsPeerAndKeepsIt() throws IOException {
+        update(1, true, targetJson("s-1", "127.0.0.9:1", "active"));
+        ConnectionPool.Peer peer = endpointRegistry.findEndpoint("s-1").peer();
+        assertEquals(List.of(), endpointRegistry.pollDrainingPeers());
+        update(2, false, targetJson("s-1", "127.0.0.9:1", "leaving"));
+        assertEquals(List.of(peer), endpointRegistry.pollDrainingPeers());
+        assertEquals(List.of(), endpointRegistry.pollDrainingPeers());
+        assertEquals(List.of(), endpointRegistry.pollRemovedPeers());
+        assertSame(peer, endpointRegistry.findEndpoint("s-1").peer());
+    }
+
     @Test
     void endpointAtAReusedAddressIsADifferentPeer() throws IOException {
         update(1, true, targetJson("s-1", "127.0.0.9:1", "active"));
--- a/src/test/java/terndyke/node/http/ConnectionPoolTest.java
+++ b/src/test/java/terndyke/node/http/ConnectionPoolTest.java
@@ -13,6 +13,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -26,6 +27,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import terndyke.api.Ending;
 import terndyke.node.Counters;
@@ -642,26 +644,73 @@
         }
     }
 
-    @Test
-    void aCallWithheldBeforeItsConnectionIsUpIsNeverSent() throws Exception {
+    /** Starts a call whose connection does not come up until others have been accepted, since the listen backlog is full. */
+    private ConnectionPool.Peer startCallOnALateConnection(List<Socket> backlog) throws Exception {
         endpoint.close();
         endpoint = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
         ConnectionPool.Peer peerWithFullBacklog = new ConnectionPool.Peer(endpointAddress());
-        List<Socket> backlog = new java.util.ArrayList<>();
-        for (int i = 0; i < 2; i++) { // fills the listen backlog, so that the next connection is not yet established
+        for (int i = 0; i < 2; i++) {
             backlog.add(new Socket(endpoint.getInetAddress(), endpoint.getLocalPort()));
         }
         connectionPool = new ConnectionPool(reactor, Limits.fromResources(192, 1024, 3, 8, 40, 5_000_000, 1_000_000), counters, log,
                 () -> 0, holdUpDetector, releasedConnections::add);
         connectionPool.startCall(peerWithFullBacklog, new Call("POST", "/events", new String[] {"Host", "x"}, BODY), 0,
                 results::add);
-        connectionPool.withhold(peerWithFullBacklog);
+        Thread.sleep(100); // the I/O thread asks for the connection
+        return peerWithFullBacklog;
+    }
+
+    private static void closeAll(List<Socket> sockets) throws IOException {
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    @Test
+    void aCallWithheldBeforeItsConnectionIsUpIsNeverSent() throws Exception {
+        List<Socket> backlog = new java.util.ArrayList<>();
+        ConnectionPool.Peer latePeer = startCallOnALateConnection(backlog);
+        connectionPool.withhold(latePeer);
         for (int i = 0; i < 3; i++) {
             endpoint.accept().close();
         }
         assertEquals(Ending.NOT_SENT, awaitResult().ending());
-        for (Socket other : backlog) {
-            other.close();
+        closeAll(backlog);
+    }
+
+    /** Guards against a call that waits for its connection, and then reaches whoever is at the address of its endpoint by then. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aCallIsNeverSentOnceItsEndpointDrainsOrIsGoneAndItsConnectionIsNotUp(boolean gone) throws Exception {
+        List<Socket> backlog = new java.util.ArrayList<>();
+        ConnectionPool.Peer latePeer = startCallOnALateConnection(backlog);
+        if (gone) {
+            connectionPool.removePeer(latePeer);
+        } else {
+            connectionPool.cancelUnstartedCalls(latePeer);
+        }
+        assertEquals(Ending.NOT_SENT, results.poll(500, TimeUnit.MILLISECONDS).ending(), "before the connect timeout");
+        for (int i = 0; i < 2; i++) {
+            endpoint.accept().close();
+        }
+        endpoint.setSoTimeout(1_500); // the system asks again for the connection after a second
+        try (Socket late = endpoint.accept()) {
+            assertClosed(late);
+        } catch (SocketTimeoutException e) {
+            // the connection was given up before it came up
+        }
+        assertEquals(1, counters.get(Counter.CALLS_CANCELLED_BY_LIST));
+        closeAll(backlog);
+    }
+
+    @Test
+    void aCallThatHasBegunGoesOnThoughItsEndpointDrains() throws Exception {
+        startCall(BODY, 0);
+        try (Socket connection = endpoint.accept()) {
+            readRequest(connection);
+            connectionPool.cancelUnstartedCalls(peer);
+            sendResponse(connection, OK_RESPONSE);
+            assertEquals(200, awaitResult().status());
         }
     }
 
