The test of a response read after a hold-up leaves 25 ms on either side of its bounds

Cause, from the trace: the test waits 90 ms of real time and the bound is at 100 ms, so that a machine which takes 10 ms longer for the steps of the test reads the response past the bound, where it is rightly not doubted. The node did what it should.

Change: the response comes after 75 ms, in the middle between the window (50 ms) and the bound. The exact bounds, to the microsecond and with a clock of its own, stay checked by ResponseHistoryTest#onlyAResponseWithTheStatusOfARecentOneMayBeACopy. No other assertion changed.

--- a/src/test/java/terndyke/node/http/ConnectionPoolTest.java
+++ b/src/test/java/terndyke/node/http/ConnectionPoolTest.java
@@ -176,7 +176,7 @@
 
     /** Guards against a copy that comes while the next call is out and is read late, after a hold-up of the node that was or was not seen. */
     @ParameterizedTest
-    @CsvSource({"10, false, POSSIBLE_COPY", "90, false, POSSIBLE_COPY", "150, false, NONE", "150, true, POSSIBLE_COPY"})
+    @CsvSource({"10, false, POSSIBLE_COPY", "75, false, POSSIBLE_COPY", "150, false, NONE", "150, true, POSSIBLE_COPY"})
     void aResponseReadAfterAHoldUpProvesNothing(long millis, boolean heldUp, ResponseDefect defect) throws Exception {
         try (Socket connection = deliverWithin(250)) { // the endpoint may deliver again after half of that
             startCall(BODY, 0);
