A connection whose reading is suspended goes on after a response of another thread

Seen: RequestMemoryProcessTest with MANY_MESSAGES_AT_ONCE failed in one of two further runs, with 628,810 bytes of request memory in use 4 s after the load. A caller would have got no answer to the requests behind.

Cause, from a dump of all connections: 50 of some 300 stood suspended with one unanswered request, interest in no event and open, although every request had been answered (requests_in is the sum of the refused, taken and bounced ones). The decision thread submits a response while the I/O thread is writing; the library then clears the interest in writing without having seen that the response is complete. Until now the next input made up for it; with reading suspended none comes.

Change: the thread that submits a response says so afterwards if reading is suspended, and sets the interest again; the I/O thread looks again before it leaves the event. At each suspension the interest is set too, for a response that came just before. Whichever comes last sees the other.

--- a/src/main/java/terndyke/node/http/ClientConnections.java
+++ b/src/main/java/terndyke/node/http/ClientConnections.java
@@ -118,6 +118,7 @@
         private RequestHeadParser requestParser;
         private IncompleteRequest incompleteRequest; // whose body is being read; null in a head and between requests
         private volatile boolean readingSuspended; // a request waits unread until a response has been written
+        private volatile boolean responseSubmitted; // by another thread while reading was suspended
         private long unreadSince; // reading was suspended then, and not all that waited has been read since; or 0
         private boolean discarding; // all further input is read and dropped
         private long discardedBytes;
@@ -285,13 +286,11 @@
                 readingRequest = false;
                 readingSuspended = true;
                 session.setSocketTimeout(Timeout.DISABLED);
+                session.setEvent(SelectionKey.OP_WRITE); // for a response whose thread has not seen that reading is suspended
                 counters.add(Counter.READS_SUSPENDED);
             }
             if (readingSuspended) {
                 session.clearEvent(SelectionKey.OP_READ);
-                if (!uncountedResponses.isEmpty()) {
-                    session.setEvent(SelectionKey.OP_WRITE); // their thread may not have seen that reading is suspended
-                }
             }
             return readingSuspended;
         }
@@ -320,6 +319,25 @@
             return unreadSince == 0 ? 0 : clock.getAsLong() - unreadSince;
         }
 
+        /**
+         * Called by the thread that has submitted a response, afterwards. The library may clear the session's interest in writing
+         * while another thread submits a response, without having seen its end. While reading is suspended no other event
+         * would follow, so the owner thread is told to look again.
+         */
+        void onResponseSubmitted() {
+            if (readingSuspended && Thread.currentThread() != ownerThread) {
+                responseSubmitted = true;
+                session.setEvent(SelectionKey.OP_WRITE);
+            }
+        }
+
+        /** Returns true once after a response that the library may have overlooked. */
+        boolean pollResponseSubmitted() {
+            boolean submitted = responseSubmitted;
+            responseSubmitted = false;
+            return submitted;
+        }
+
         /** Called by any thread when a response is complete; it is counted by the thread that owns the connections. */
         void onResponseComplete() {
             if (Thread.currentThread() == ownerThread) {
--- a/src/main/java/terndyke/node/http/ClientRequestHandler.java
+++ b/src/main/java/terndyke/node/http/ClientRequestHandler.java
@@ -330,6 +330,7 @@
             } catch (HttpException | IOException e) {
                 failed(e);
             }
+            clientConnection.onResponseSubmitted();
         }
 
         @Override
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -257,7 +257,7 @@
         }
 
         /**
-         * Repeats if another thread has added a response meanwhile: the library may have cleared the session's interest in
+         * Repeats if another thread has added or submitted a response meanwhile: the library may have cleared the session's interest in
          * writing just after that thread set it.
          */
         @Override
@@ -265,7 +265,7 @@
             do {
                 clientConnection.writePendingResponses();
                 super.outputReady(session);
-            } while (clientConnection.hasPendingResponses());
+            } while (clientConnection.hasPendingResponses() || clientConnection.pollResponseSubmitted());
             if (session.isOpen() && clientConnection.resumeReading()) {
                 inputReady(session, null);
             }
--- a/src/test/java/terndyke/node/http/ClientConnectionsTest.java
+++ b/src/test/java/terndyke/node/http/ClientConnectionsTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.Proxy;
+import java.nio.channels.SelectionKey;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,6 +15,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.util.Timeout;
 import org.junit.jupiter.api.Test;
@@ -26,6 +29,7 @@
     private final Limits limits = Limits.fromResources(128, 256, 3, 12, 40, 400_000, 1_000_000);
     private final Set<IOSession> closed = new HashSet<>();
     private final Map<IOSession, Long> timeouts = new HashMap<>();
+    private final Map<IOSession, Integer> eventMasks = new HashMap<>();
     private long now = 1_000_000;
     private final ClientConnections clientConnections = new ClientConnections(limits, () -> now, new Counters());
 
@@ -37,6 +41,10 @@
                         timeouts.put((IOSession) proxy, ((Timeout) arguments[0]).toMicroseconds());
                         yield null;
                     }
+                    case "setEvent" -> eventMasks.merge((IOSession) proxy, (Integer) arguments[0], (mask, event) -> mask | event) == 0
+                            ? null : null;
+                    case "clearEvent" -> eventMasks.merge((IOSession) proxy, 0, (mask, event) -> mask & ~(Integer) arguments[0]) == 0
+                            ? null : null;
                     case "hashCode" -> System.identityHashCode(proxy);
                     case "equals" -> proxy == arguments[0];
                     default -> null;
@@ -152,6 +160,51 @@
         assertNull(clientConnections.accept(createSession()));
     }
 
+    /** A connection with a request that waits for its response and another one behind it that has been received. */
+    private ClientConnections.ClientConnection acceptWithWaitingRequest(IOSession session) throws Exception {
+        ClientConnections.ClientConnection connection = clientConnections.accept(session);
+        RequestHeadParser parser = connection.createRequestParser(Http1Config.DEFAULT);
+        connection.onInput();
+        connection.onRequestComplete();
+        SessionInputBuffer received = (SessionInputBuffer) Proxy.newProxyInstance(getClass().getClassLoader(),
+                new Class<?>[] {SessionInputBuffer.class}, (proxy, method, arguments) -> 100); // bytes; nothing else is asked
+        assertNull(parser.parse(received, false), "the request stays unread");
+        return connection;
+    }
+
+    @Test
+    void readingIsSuspendedWhileARequestWaitsBehindAnUnansweredOneAndGoesOnAfterItsResponse() throws Exception {
+        IOSession session = createSession();
+        ClientConnections.ClientConnection connection = acceptWithWaitingRequest(session);
+        eventMasks.put(session, SelectionKey.OP_READ);
+        assertTrue(connection.suspendReading());
+        assertEquals(Timeout.DISABLED.toMicroseconds(), timeouts.get(session), "a complete request is answered, however late");
+        assertFalse(connection.resumeReading(), "no response yet");
+        now += 20_000;
+        connection.onResponseComplete();
+        assertTrue(connection.resumeReading());
+        assertTrue((eventMasks.get(session) & SelectionKey.OP_READ) != 0);
+        assertEquals(20_000, connection.unreadMicros());
+    }
+
+    /**
+     * Guards against a connection that stays suspended for good: the library clears the interest in writing while another thread
+     * submits the response, and does not notice that it is complete.
+     */
+    @Test
+    void aResponseOfAnotherThreadIsLookedAtAgainWhileReadingIsSuspended() throws Exception {
+        IOSession session = createSession();
+        ClientConnections.ClientConnection connection = acceptWithWaitingRequest(session);
+        eventMasks.put(session, SelectionKey.OP_READ);
+        connection.suspendReading();
+        assertEquals(SelectionKey.OP_WRITE, eventMasks.get(session), "for a response that was submitted before");
+        eventMasks.put(session, 0); // by the library
+        runOnOtherThread(connection::onResponseSubmitted);
+        assertEquals(SelectionKey.OP_WRITE, eventMasks.get(session));
+        assertTrue(connection.pollResponseSubmitted());
+        assertFalse(connection.pollResponseSubmitted());
+    }
+
     private static void runOnOtherThread(Runnable task) throws InterruptedException {
         Thread other = new Thread(task);
         other.start();
