Only what an eviction gives back counts towards the budget of requests

Cause, by reading: input that is not parsed yet was charged as well, although an eviction does not give it back: the library's buffer stays until the connection ends. A client that waits suspended with 8 KiB unread could be evicted for it, and closed behind a response just written.

Change: lines of heads, trailers and bodies are charged; the buffers of a connection, 16 KiB at most, are a fixed cost bounded by the number of connections. An unfinished head exists only where no response is due (a request is begun only then), so its refusal is written without further conditions.

--- a/src/main/java/terndyke/node/http/ClientConnections.java
+++ b/src/main/java/terndyke/node/http/ClientConnections.java
@@ -152,14 +152,14 @@
         void onInputProcessed() {
             if (!closed && !discarding) {
                 int bodyBytes = incompleteRequest == null ? 0 : incompleteRequest.bufferedBytes() + trailerSize.memoryBytes();
-                memoryAccount.resize(requestParser.memoryBytes() + bodyBytes);
+                memoryAccount.resize(requestParser.headBytes() + bodyBytes);
             }
             if (!closed && !suspendReading()) {
                 unreadSince = 0;
             }
         }
 
-        /** Reserves memory for a complete request until its response has been written; returns null if there is not enough. */
+        /** Reserves memory for a complete request until the node has handled it; returns null if there is not enough. */
         MemoryBudget.Reservation reserveMemory(long bytes) {
             return requestMemory.reserve(bytes);
         }
@@ -178,14 +178,12 @@
             }
         }
 
-        /** Refuses a request whose head is incomplete. Behind requests that wait for their responses it is dropped unanswered. */
+        /** Refuses a request whose head is incomplete. No response is being written, as no head is read behind an open request. */
         private void writeRefusal() {
-            if (unansweredRequests == 0) {
-                try {
-                    session.write(ByteBuffer.wrap(REFUSAL.getBytes(StandardCharsets.US_ASCII)));
-                } catch (IOException e) {
-                    close();
-                }
+            try {
+                session.write(ByteBuffer.wrap(REFUSAL.getBytes(StandardCharsets.US_ASCII)));
+            } catch (IOException e) {
+                close();
             }
         }
 
@@ -353,9 +351,7 @@
         /** Well-behaved clients send a request only after the last response, so that no request is partly read by now. */
         private void countResponse() {
             unansweredRequests = Math.max(0, unansweredRequests - 1);
-            if (unansweredRequests == 0 && discarding) {
-                close();
-            } else if (unansweredRequests == 0 && !closed) {
+            if (unansweredRequests == 0 && !closed) {
                 readingRequest = false;
                 markIdle();
             }
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -337,7 +337,7 @@
 
         private void chargePartialResponse(Exchange currentExchange) {
             if (!currentExchange.completed) {
-                memoryAccount.resize(responseParser.memoryBytes() + trailerSize.memoryBytes() + currentExchange.bufferedBytes());
+                memoryAccount.resize(responseParser.headBytes() + trailerSize.memoryBytes() + currentExchange.bufferedBytes());
             }
         }
 
--- a/src/main/java/terndyke/node/http/RequestHeadParser.java
+++ b/src/main/java/terndyke/node/http/RequestHeadParser.java
@@ -85,9 +85,9 @@
         return input == null ? 0 : input.length();
     }
 
-    /** The memory that the head being read takes at most, with input that is not parsed yet. */
-    int memoryBytes() {
-        return headerSize.memoryBytes() + unparsedBytes();
+    /** The memory that the lines of the head being read take at most. */
+    int headBytes() {
+        return headerSize.memoryBytes();
     }
 
     @Override
--- a/src/main/java/terndyke/node/http/ResponseHeadParser.java
+++ b/src/main/java/terndyke/node/http/ResponseHeadParser.java
@@ -80,9 +80,9 @@
         return input == null ? 0 : input.length();
     }
 
-    /** The memory that the head being read takes at most, with input that is not parsed yet. */
-    int memoryBytes() {
-        return headerSize.memoryBytes() + unparsedBytes();
+    /** The memory that the lines of the head being read take at most. */
+    int headBytes() {
+        return headerSize.memoryBytes();
     }
 
     /** Looks for Retry-After in a line of the head; the library gives the headers out only when the head is complete. */
