--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -32,6 +32,12 @@
         /** Reasons for which requests were refused before they were admitted. */
         REFUSED_LEAVING, REFUSED_READ_LATE, REFUSED_NO_ROOM, REFUSED_CROWDED, REFUSED_INBOX_FULL,
         REFUSED_NO_MEMORY,
+        /** Connections of the node's own calls that did not come up: by the other side, and for lack of a socket or address here. */
+        CONNECTS_FAILED, CONNECTS_FAILED_LOCALLY,
+        /** Turns of the decision thread that ended by an exception. */
+        TURNS_FAILED,
+        /** Steps of the wall clock against the node's own clock. */
+        WALL_CLOCK_STEPS,
         /** Pauses in reading from a client that has sent a request before it got the response to the one before. */
         READS_SUSPENDED,
         /** Bytes that clients' requests take at present, from their first byte until the decision thread has answered them. */
--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -67,6 +67,10 @@
         rejectedEntries.forEach(text -> log.warn("known list: " + text));
         RecordStore recordStore = new RecordStore(journal, limits, counters, log);
         Collection<TrackedRecord> restoredRecords = recordStore.restore(entries);
+        if (!restoredRecords.isEmpty()) {
+            log.info("journal: " + entries.size() + " entries about " + restoredRecords.size() + " records, the latest "
+                    + (clock.now() - recordStore.latestTime()) / 1000 + " ms old");
+        }
         reactor = new Reactor(limits, counters, log, fatalErrorHandler);
         reactor.start();
         decisionLoop = new DecisionLoop(configuration, reactor, endpointRegistry, recordStore, clock, counters, log);
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -405,6 +405,8 @@
 
             @Override
             public void failed(Exception cause) {
+                counters.add(ConnectFailure.isLocal(cause) ? Counter.CONNECTS_FAILED_LOCALLY : Counter.CONNECTS_FAILED);
+                log.infoAboutRecord(connection.describe() + " not established: " + cause);
                 exchange.deliverResult(Call.Result.withoutResponse(Ending.NOT_CONNECTED));
                 releaseListener.accept(connection);
             }
--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -23,6 +23,7 @@
 import terndyke.node.NodeLog;
 import terndyke.node.SlowTurnDetector;
 import terndyke.node.SlowTurnDetector.Phase;
+import terndyke.node.WallClockMonitor;
 import terndyke.node.discovery.EndpointRegistry;
 import terndyke.node.discovery.Watch;
 import terndyke.node.http.ConnectionPool;
@@ -57,10 +58,13 @@
     private final Watch watch;
     private final SlowTurnDetector slowTurnDetector;
     private final HoldUpDetector holdUpDetector;
+    private final WallClockMonitor wallClockMonitor = new WallClockMonitor(WallClockMonitor::systemWallClock,
+            () -> System.nanoTime() / 1000);
     private final long keyQuietMicros;
     private final int gradeCount;
     private long nextSweepAt;
     private long shutdownDeadline = Long.MAX_VALUE;
+    private int unperformedActions; // of the present run of the decision module
     private long eventsHandledUntil; // what was received by this time has been handled before the current decisions
     private final CountDownLatch discoveryResolved = new CountDownLatch(1); // the first call to discovery has completed or failed
     private final CountDownLatch firstTurnDone = new CountDownLatch(1); // the decision module has run once after that
@@ -187,7 +191,9 @@
             } catch (InterruptedException e) {
                 return;
             } catch (Exception | OutOfMemoryError e) {
-                log.warn("decision thread: turn failed, its new records are refused", e);
+                counters.add(Counter.TURNS_FAILED);
+                log.warn("decision thread: turn failed, " + unperformedActions + " actions lost, its new records are refused", e);
+                unperformedActions = 0;
                 refuseNewRecords();
             }
         }
@@ -260,6 +266,7 @@
         }
         if (now >= nextSweepAt) {
             nextSweepAt = now + limits.sweepIntervalMicros();
+            logWallClockStep();
             connectionPool.closeExpired(now);
             endpointRegistry.evictGone(now - limits.goneEndpointRetentionMicros(), limits.maxGoneEndpoints());
             recordStore.evictEnded(now, Math.max(keyQuietMicros, limits.endedRecordRetentionMicros()));
@@ -277,6 +284,14 @@
                 && now >= shutdownDeadline - limits.shutdownGracePeriodMicros() + limits.minShutdownMicros();
     }
 
+    private void logWallClockStep() {
+        long stepMicros = wallClockMonitor.pollStep();
+        if (stepMicros != 0) {
+            counters.add(Counter.WALL_CLOCK_STEPS);
+            log.warn("wall clock stepped by " + stepMicros / 1000 + " ms");
+        }
+    }
+
     private void handleEvent(LoopEvent event, long now) {
         if (event instanceof LoopEvent.RequestReceived requestReceived) {
             queuedRequestCount.decrementAndGet();
@@ -387,9 +402,11 @@
             long now = now();
             List<Action> actions = decisionStage.runTurn(now);
             slowTurnDetector.endPhase(Phase.MODULE, now());
+            unperformedActions = actions.size();
             answerNewRecords(actions);
             for (Action action : actions) {
                 performAction(action, now);
+                unperformedActions--;
             }
             slowTurnDetector.endPhase(Phase.ACTIONS, now());
         }
--- a/src/main/java/terndyke/node/stage/NotificationStage.java
+++ b/src/main/java/terndyke/node/stage/NotificationStage.java
@@ -225,9 +225,12 @@
     /** Schedules the next call. */
     private void handleCallFailure(String reason, long now, long delayMicros) {
         counters.add(Counter.NOTICES_UNANSWERED);
-        if (consecutiveFailures++ == 0) {
-            log.warn("notices unanswered: " + pendingNotices.size() + " pending, first "
-                    + pendingNotices.iterator().next().entry.id() + ", " + reason);
+        String text = "call with notices failed: " + reason + ", " + ++consecutiveFailures + " in a row, " + pendingNotices.size()
+                + " pending, first " + pendingNotices.iterator().next().entry.id();
+        if (consecutiveFailures == 1) {
+            log.warn(text);
+        } else {
+            log.infoAboutRecord(text);
         }
         callInFlight = false;
         callNumber++;
@@ -273,7 +276,7 @@
             completed.records().forEach(this::settleNotice);
         } else {
             maxBatchSize = status == 400 ? Math.max(1, completed.records().size() / 2) : maxBatchSize;
-            handleCallFailure("status " + status, now, retryDelay());
+            handleCallFailure("status " + status + ", " + completed.result().ending(), now, retryDelay());
         }
     }
 
@@ -287,6 +290,7 @@
                     + " ms after the message ended");
         }
         pendingNotices.remove(record);
+        trace("settled", record);
         recordStore.settleNotice(record);
         decisionStage.addEvent(new Event.FinalAnswerDelivered(record.entry.number()));
     }
--- a/src/main/java/terndyke/node/stage/RecordStore.java
+++ b/src/main/java/terndyke/node/stage/RecordStore.java
@@ -88,6 +88,11 @@
         return recordsByNumber.keySet().stream().mapToLong(Long::longValue).max().orElse(0);
     }
 
+    /** The latest time that an entry about a record states, or 0 without records. */
+    public long latestTime() {
+        return recordsByNumber.values().stream().mapToLong(TrackedRecord::latestJournalledTime).max().orElse(0);
+    }
+
     TrackedRecord findById(String id) {
         return recordsById.get(id);
     }
--- a/src/main/java/terndyke/node/stage/TrackedRecord.java
+++ b/src/main/java/terndyke/node/stage/TrackedRecord.java
@@ -65,6 +65,11 @@
                 entry.destination(), null, entry.acceptedAt(), entry.abandonAt(), new byte[0]);
     }
 
+    /** When the record was accepted, or its last shot fired. */
+    long latestJournalledTime() {
+        return shots.stream().mapToLong(shot -> shot.firedAt).reduce(entry.acceptedAt(), Math::max);
+    }
+
     /** The key as clients write it, for the log. */
     String keyText() {
         return String.format("%016x", entry.key());
