--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -5,7 +5,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
+import java.io.InterruptedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -13,6 +13,10 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -23,6 +27,8 @@
 final class TestNodeProcess implements AutoCloseable {
     private static final Pattern RUN_COMMAND_PATTERN = Pattern.compile("(?s)\\nrun = \"\"\"(.*?)\"\"\"");
     private static final int TIMEOUT_MILLIS = 10_000;
+    private static final int LOG_TIMEOUT_MILLIS = 60_000;
+    private static final String END_OF_LOG = "\n"; // no line holds one
     private static final int SMALL_DESCRIPTORS = 256;
     private static final int FULL_DESCRIPTORS = 1_024;
     private static final int FULL_CONCURRENT_CALLS = 33;
@@ -38,16 +44,39 @@
              "classes":[{"name":"status","target":1.5,"deadline":5.0,"semantics":"retryable","points":3.0},
                {"name":"payment","target":2.5,"deadline":5.0,"semantics":"fragile","points":1.0},
                {"name":"order","target":2.5,"deadline":5.0,"semantics":"fragile","serialByKey":true,"points":1.0},
-               {"name":"reading","target":2.5,"deadline":5.0,"semantics":"retryable","serialByKey":true,"points":1.0}]}""";
+               {"name":"reading","target":2.5,"deadline":5.0,"semantics":"retryable","serialByKey":true,"points":1.0},
+               {"name":"supply","target":2.5,"deadline":24.0,"semantics":"dedup","group":"zone","memorySpan":3.0,
+                 "serialByKey":true,"points":1.0}]}""";
 
     private final Process process;
-    private final BufferedReader log;
+    private final BlockingQueue<String> unreadLog = new LinkedBlockingQueue<>();
+    private final List<String> logLines = new CopyOnWriteArrayList<>();
     private final int port;
 
     private TestNodeProcess(Process process, int port) {
         this.process = process;
         this.port = port;
-        log = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        Thread logReader = new Thread(this::readLog, "node-log");
+        logReader.setDaemon(true);
+        logReader.start();
+    }
+
+    /** Reads the log all the time, as a full pipe would stop the process. */
+    private void readLog() {
+        try (BufferedReader reader = process.inputReader(StandardCharsets.UTF_8)) {
+            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+                logLines.add(line);
+                unreadLog.add(line);
+            }
+        } catch (IOException e) {
+            // the process has been ended
+        }
+        unreadLog.add(END_OF_LOG);
+    }
+
+    /** The lines that the process has logged so far. */
+    List<String> logLines() {
+        return List.copyOf(logLines);
     }
 
     static String freeAddress() throws IOException {
@@ -87,16 +116,26 @@
 
     /** Starts a small node that uses discovery at the given address, and waits until it serves. */
     static TestNodeProcess startServing(Path folder, String discovery) throws IOException {
+        return startServing(folder, "", discovery);
+    }
+
+    /** Starts a small node from a shell that runs the given commands first, and waits until it serves. */
+    static TestNodeProcess startServing(Path folder, String shellPrefix, String discovery) throws IOException {
         String listen = freeAddress();
-        return awaitServing(start(folder, "", writeConfiguration(folder, listen, discovery), listen));
+        return awaitServing(start(folder, shellPrefix, writeConfiguration(folder, listen, discovery), listen));
     }
 
     /** Starts a node with as many descriptors and concurrent calls, and as long a connect timeout, as production has at most. */
     static TestNodeProcess startServingAtFullSize(Path folder, String discovery) throws IOException {
+        return startServingAtFullSize(folder, "", discovery);
+    }
+
+    /** The same, from a shell that runs the given commands first. */
+    static TestNodeProcess startServingAtFullSize(Path folder, String shellPrefix, String discovery) throws IOException {
         String listen = freeAddress();
         String settings = SETTINGS.replace("\"callsOut\":4", "\"callsOut\":" + FULL_CONCURRENT_CALLS)
                 .replace("\"connectTimeout\":0.5", "\"connectTimeout\":" + FULL_CONNECT_TIMEOUT_SECONDS);
-        return awaitServing(start(folder, "", writeConfiguration(folder, listen, discovery, FULL_DESCRIPTORS, settings), listen));
+        return awaitServing(start(folder, shellPrefix, writeConfiguration(folder, listen, discovery, FULL_DESCRIPTORS, settings), listen));
     }
 
     private static TestNodeProcess awaitServing(TestNodeProcess node) throws IOException {
@@ -110,11 +149,15 @@
 
     /** Reads the log up to a line that contains the given text. */
     void awaitLog(String text) throws IOException {
-        String line = log.readLine();
-        while (line != null && !line.contains(text)) {
-            line = log.readLine();
+        try {
+            String line = unreadLog.poll(LOG_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            while (line != null && !line.equals(END_OF_LOG) && !line.contains(text)) {
+                line = unreadLog.poll(LOG_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            }
+            assertTrue(line != null && !line.equals(END_OF_LOG), "the log ended without the text: " + text + logLines);
+        } catch (InterruptedException e) {
+            throw new InterruptedIOException("interrupted while waiting for the log");
         }
-        assertTrue(line != null, "the log ended without the text: " + text);
     }
 
     /** Waits until the node has counted as many deliveries. */
