Deadlines and windows outlive a restart on the monotonic clock, whatever the wall clock does

What callers saw: after a step of the wall clock by -5 s and a restart every notice came 5 s late (nine of twelve messages lost), and messages of the keyed class were called again after their window, so that their effect may have happened twice; after +1 h all were given up untried.

--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -48,13 +48,21 @@
     /** Restores the unfinished records of the previous run from the journal, and serves clients from then on. */
     public void start() throws IOException {
         Limits limits = configuration.limits();
-        NodeClock clock = new NodeClock();
         List<JournalEntry> entries = new ArrayList<>();
         try {
             journal = Journal.open(configuration.stateDirectory(), limits.maxJournalBytes(), log, entries);
         } catch (IOException e) {
             throw new IOException("cannot open the journal in " + configuration.stateDirectory() + ": " + e.getMessage(), e);
         }
+        RecordStore recordStore = new RecordStore(journal, limits, counters, log);
+        Collection<TrackedRecord> restoredRecords = recordStore.restore(entries);
+        NodeClock clock = NodeClock.continueFrom(recordStore.clockReference(), recordStore.latestTime());
+        if (!restoredRecords.isEmpty()) {
+            log.info("journal: " + entries.size() + " entries about " + restoredRecords.size() + " records, the latest "
+                    + (clock.now() - recordStore.latestTime()) / 1000 + " ms old by the "
+                    + (clock.isContinued() ? "clock of the previous run" : "wall clock"));
+        }
+        recordStore.startRun(clock.reference());
         EndpointRegistry endpointRegistry = new EndpointRegistry(configuration.zoneNames(), configuration.endpointKinds());
         List<String> rejectedEntries = new ArrayList<>();
         Event.ListReceived knownList = new Event.ListReceived(List.of(), true);
@@ -65,12 +73,6 @@
             log.warn("known list: cannot be read, ignored: " + e.getMessage());
         }
         rejectedEntries.forEach(text -> log.warn("known list: " + text));
-        RecordStore recordStore = new RecordStore(journal, limits, counters, log);
-        Collection<TrackedRecord> restoredRecords = recordStore.restore(entries);
-        if (!restoredRecords.isEmpty()) {
-            log.info("journal: " + entries.size() + " entries about " + restoredRecords.size() + " records, the latest "
-                    + (clock.now() - recordStore.latestTime()) / 1000 + " ms old");
-        }
         reactor = new Reactor(limits, counters, log, fatalErrorHandler);
         reactor.start();
         decisionLoop = new DecisionLoop(configuration, reactor, endpointRegistry, recordStore, clock, counters, log);
--- a/src/main/java/terndyke/node/NodeClock.java
+++ b/src/main/java/terndyke/node/NodeClock.java
@@ -1,19 +1,66 @@
 package terndyke.node;
 
-import java.time.Duration;
-import java.time.Instant;
+import java.util.function.LongSupplier;
 
-/** The node's clock in whole microseconds since the epoch: the wall clock at its start, advanced by the monotonic clock. */
+import terndyke.node.journal.JournalEntry;
+
+/**
+ * The node's clock in whole microseconds: the monotonic clock plus an offset. At the first start the offset is such that the clock shows the
+ * wall clock's time; steps of the wall clock do not move it. A restarted node goes on with the offset of its previous run, so that times
+ * in the journal stay comparable with the present, unless the monotonic clock is another one: after a boot of the machine.
+ */
 public final class NodeClock {
-    private final long wallClockAtStartMicros;
-    private final long monotonicAtStartNanos = System.nanoTime();
+    private final LongSupplier monotonicClock;
+    private final long offsetMicros;
+    private final String clockIdentity;
+    private final boolean continued;
+
+    private NodeClock(LongSupplier monotonicClock, long offsetMicros, String clockIdentity, boolean continued) {
+        this.monotonicClock = monotonicClock;
+        this.offsetMicros = offsetMicros;
+        this.clockIdentity = clockIdentity;
+        this.continued = continued;
+    }
 
+    /** A clock without a previous run. */
     public NodeClock() {
-        Duration sinceEpoch = Duration.between(Instant.EPOCH, Instant.now());
-        wallClockAtStartMicros = sinceEpoch.getSeconds() * 1_000_000 + sinceEpoch.getNano() / 1000;
+        this(NodeClock::systemMonotonicClock, WallClockMonitor.systemWallClock() - systemMonotonicClock(), "", false);
+    }
+
+    /** The clock of a node with the given reference of its previous run, or null, and the latest time in the journal. */
+    public static NodeClock continueFrom(JournalEntry.ClockReference reference, long latestTime) {
+        return continueFrom(reference, latestTime, MonotonicClockIdentity.read(), NodeClock::systemMonotonicClock,
+                WallClockMonitor.systemWallClock());
+    }
+
+    /**
+     * Goes on with the previous run's offset if the monotonic clock has the same identity, and does not show that it began anew. Otherwise
+     * the wall clock alone is known, and time begins no earlier than the journal ends.
+     */
+    static NodeClock continueFrom(JournalEntry.ClockReference reference, long latestTime, String clockIdentity,
+            LongSupplier monotonicClock, long wallClockMicros) {
+        long monotonicMicros = monotonicClock.getAsLong();
+        boolean sameClock = reference != null && !clockIdentity.isEmpty() && clockIdentity.equals(reference.clockIdentity())
+                && monotonicMicros + reference.offsetMicros() >= latestTime;
+        long offset = sameClock ? reference.offsetMicros() : Math.max(wallClockMicros, latestTime) - monotonicMicros;
+        return new NodeClock(monotonicClock, offset, clockIdentity, sameClock);
+    }
+
+    private static long systemMonotonicClock() {
+        return System.nanoTime() / 1000;
     }
 
     public long now() {
-        return wallClockAtStartMicros + (System.nanoTime() - monotonicAtStartNanos) / 1000;
+        return monotonicClock.getAsLong() + offsetMicros;
+    }
+
+    /** True if the times of the previous run are on this clock. */
+    public boolean isContinued() {
+        return continued;
+    }
+
+    /** What the next run needs to go on with this clock. */
+    public JournalEntry.ClockReference reference() {
+        return new JournalEntry.ClockReference(clockIdentity, offsetMicros);
     }
 }
--- a/src/main/java/terndyke/node/journal/JournalEntry.java
+++ b/src/main/java/terndyke/node/journal/JournalEntry.java
@@ -2,7 +2,7 @@
 
 import terndyke.api.Ending;
 
-/** An entry of the journal. Times are wall-clock time in whole microseconds; number is that of the record it is about. */
+/** An entry of the journal. Times are on the node's clock, in whole microseconds; number is that of the record it is about. */
 public sealed interface JournalEntry {
     long number();
 
@@ -22,6 +22,17 @@
     /** The platform has answered the notice of the record's outcome, or no notice is needed. */
     record NoticeAnswered(long number) implements JournalEntry { }
 
+    /**
+     * The clock of the times in the entries that follow: its offset from the monotonic clock of the given identity. Times in earlier
+     * entries are on another clock. It is about no record.
+     */
+    record ClockReference(String clockIdentity, long offsetMicros) implements JournalEntry {
+        @Override
+        public long number() {
+            return 0;
+        }
+    }
+
     /** How a record ended. */
     enum RecordOutcome { DONE, BOUNCED, TERMINATED, WITHDRAWN }
 }
--- a/src/main/java/terndyke/node/journal/JournalEntryCodec.java
+++ b/src/main/java/terndyke/node/journal/JournalEntryCodec.java
@@ -60,6 +60,11 @@
             out.writeLong(recordEnded.number());
             out.writeByte(recordEnded.outcome().ordinal());
             out.writeLong(recordEnded.retryAfter());
+        } else if (entry instanceof JournalEntry.ClockReference reference) {
+            out.writeByte(6);
+            out.writeLong(reference.number());
+            writeText(out, reference.clockIdentity());
+            out.writeLong(reference.offsetMicros());
         } else {
             out.writeByte(5);
             out.writeLong(entry.number());
@@ -78,6 +83,7 @@
             case 4 -> new JournalEntry.RecordEnded(number, RECORD_OUTCOMES[in.readUnsignedByte() % RECORD_OUTCOMES.length],
                     in.readLong());
             case 5 -> new JournalEntry.NoticeAnswered(number);
+            case 6 -> new JournalEntry.ClockReference(readText(in), in.readLong());
             default -> throw new IOException("entry of unknown type " + type);
         };
         if (in.available() > 0) {
--- a/src/main/java/terndyke/node/stage/RecordStore.java
+++ b/src/main/java/terndyke/node/stage/RecordStore.java
@@ -25,6 +25,8 @@
 public final class RecordStore {
     private static final int ENTRY_OVERHEAD_BYTES = 700; // upper bound for a record's entries without its body
     private static final int ENDED_RECORD_BYTES = 160; // journal bytes of a record that has ended
+    private static final int CLOCK_REFERENCE_BYTES = 256;
+    private static final long UNKNOWN_FIRED_AT = 0; // so long ago that every deduplication window is over
 
     private final Journal journal;
     private final Limits limits;
@@ -33,6 +35,7 @@
     private final Map<Long, TrackedRecord> recordsByNumber = new LinkedHashMap<>();
     private final Map<String, TrackedRecord> recordsById = new HashMap<>();
     private final Deque<TrackedRecord> endedRecords = new ArrayDeque<>(); // oldest end first
+    private JournalEntry.ClockReference clockReference; // of the times in the journal's last entries; null if it has none
     private int heldCount;
     private long liveBytes; // approximate number of bytes that a compaction would keep
     private long reservedBytes; // for records that are admitted but not yet in the journal
@@ -52,7 +55,9 @@
     public Collection<TrackedRecord> restore(List<JournalEntry> entries) {
         for (JournalEntry entry : entries) {
             TrackedRecord record = recordsByNumber.get(entry.number());
-            if (entry instanceof JournalEntry.RecordAccepted accepted && record == null) {
+            if (entry instanceof JournalEntry.ClockReference reference) {
+                changeClock(reference);
+            } else if (entry instanceof JournalEntry.RecordAccepted accepted && record == null) {
                 index(new TrackedRecord(accepted, false, false, null));
             } else if (record == null) {
                 log.warn("journal: " + entry.getClass().getSimpleName() + " refers to a record that is not in the journal");
@@ -76,6 +81,31 @@
         return recordsByNumber.values();
     }
 
+    /** Shots from before are on another clock: nobody knows how long ago they were fired, so none of them may be repeated for it. */
+    private void changeClock(JournalEntry.ClockReference reference) {
+        if (reference.equals(clockReference)) {
+            return;
+        }
+        liveBytes += clockReference == null ? CLOCK_REFERENCE_BYTES : 0;
+        clockReference = reference;
+        for (TrackedRecord record : recordsByNumber.values()) {
+            record.shots.replaceAll(shot -> shot.withFiredAt(UNKNOWN_FIRED_AT));
+        }
+    }
+
+    /** The clock of the previous run, or null if the journal has none. */
+    public JournalEntry.ClockReference clockReference() {
+        return clockReference;
+    }
+
+    /** Begins a run whose times are on the given clock. Called after {@link #restore}, before anything is journalled. */
+    public void startRun(JournalEntry.ClockReference reference) {
+        if (!reference.equals(clockReference)) {
+            changeClock(reference);
+            appendEnd(reference);
+        }
+    }
+
     /** The shot that delivered a record has no entry of its own: it is known where it is the only one without an ending. */
     private static void resolveDeliveringShot(TrackedRecord record) {
         List<TrackedRecord.Shot> unresolved = record.shots.stream().filter(shot -> shot.ending == null).toList();
@@ -218,7 +248,7 @@
         }
     }
 
-    private void compact() {
+    void compact() {
         try {
             if (journal.compact(liveEntries())) {
                 counters.add(Counter.JOURNAL_COMPACTIONS);
@@ -233,6 +263,9 @@
 
     private List<JournalEntry> liveEntries() {
         List<JournalEntry> entries = new ArrayList<>();
+        if (clockReference != null) {
+            entries.add(clockReference);
+        }
         for (TrackedRecord record : recordsByNumber.values()) {
             JournalEntry.RecordAccepted accepted = record.entry;
             long number = accepted.number();
--- a/src/main/java/terndyke/node/stage/TrackedRecord.java
+++ b/src/main/java/terndyke/node/stage/TrackedRecord.java
@@ -39,6 +39,13 @@
             this.zone = zone;
             this.firedAt = firedAt;
         }
+
+        /** The same shot with another time. Only for shots of a previous run, which have no connection. */
+        Shot withFiredAt(long otherFiredAt) {
+            Shot copy = new Shot(number, endpointNumber, endpointUid, zone, otherFiredAt);
+            copy.ending = ending;
+            return copy;
+        }
     }
 
     TrackedRecord(JournalEntry.RecordAccepted entry, boolean clientRetry, boolean fromDeadNode,
--- a/src/test/java/terndyke/node/stage/StageTest.java
+++ b/src/test/java/terndyke/node/stage/StageTest.java
@@ -204,6 +204,36 @@
         assertEquals(1, reopened.heldOrAdmittedCount());
     }
 
+    /** Guards against a second effect: a shot whose age is unknown since the clock is another one seemed to be within its window. */
+    @Test
+    void shotsFromBeforeAnotherClockAreOutsideEveryWindowForGood() throws IOException {
+        JournalEntry.ClockReference rebooted = new JournalEntry.ClockReference("boot 2", NOW_MICROS);
+        TrackedRecord open = addRecord("open");
+        TrackedRecord.Shot shot = new TrackedRecord.Shot(0, 7, "s", 1, NOW_MICROS);
+        open.shots.add(shot);
+        recordStore.journalShot(open, shot);
+        RecordStore afterBoot = reopenStore();
+        assertEquals(NOW_MICROS, afterBoot.latestTime());
+        afterBoot.startRun(rebooted);
+        assertEquals(0, afterBoot.findById("open").shots.get(0).firedAt);
+        RecordStore afterRestart = reopenStore();
+        assertEquals(rebooted, afterRestart.clockReference());
+        assertEquals(0, afterRestart.findById("open").shots.get(0).firedAt);
+    }
+
+    @Test
+    void theClockOutlivesACompaction() throws IOException {
+        JournalEntry.ClockReference reference = new JournalEntry.ClockReference("boot 1", NOW_MICROS);
+        recordStore.startRun(reference);
+        addRecord("open");
+        recordStore.endRecord(recordStore.findById("open"), JournalEntry.RecordOutcome.DONE, 0);
+        recordStore.compact();
+        RecordStore reopened = reopenStore();
+        assertEquals(reference, reopened.clockReference());
+        reopened.startRun(reference);
+        assertEquals(reference, reopenStore().clockReference());
+    }
+
     @Test
     void compactionKeepsOpenRecordsHoweverMuchWasWritten() throws IOException {
         TrackedRecord kept = addRecord("kept");
