--- /dev/null
+++ b/src/test/java/terndyke/NoticeFaultProcessTest.java
@@ -0,0 +1,84 @@
+package terndyke;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+import terndyke.CallRecorder.Message;
+import terndyke.RawServer.Response;
+import terndyke.SystemFaultShim.Operation;
+import terndyke.SystemFaultShim.SystemError;
+
+/** Ends many messages by notices, at endpoints that never answer, while the calls with notices are disturbed. */
+class NoticeFaultProcessTest {
+    private static final int DESTINATIONS = 4;
+    private static final int ROUNDS = 5;
+    private static final long ROUND_GAP_MILLIS = 400;
+    private static final long SHORTEST_TIMEOUT_MILLIS = 2_500;
+    private static final long LONGEST_TIMEOUT_MILLIS = 6_500;
+    private static final long FAULT_MILLIS = 1_500;
+    private static final long PAUSE_MILLIS = 500;
+    private static final int FAULT_PERIODS = 6;
+
+    private final FinalAnswerRecorder answers = new FinalAnswerRecorder();
+    private final Random random = new Random(1);
+    private SystemFaultShim shim;
+
+    @TempDir
+    Path folder;
+
+    private TestNodeProcess start(RawServer platform) throws Exception {
+        shim = SystemFaultShim.build(folder, folder.resolve("state"));
+        return TestNodeProcess.startServing(folder, shim.shellPrefix(), platform.address());
+    }
+
+    /** Messages whose times end at many moments between the shortest and the longest timeout, half of them in order. */
+    private void submitMessages(TestNodeProcess node) throws Exception {
+        for (int round = 0; round < ROUNDS; round++) {
+            for (int i = 0; i < DESTINATIONS; i++) {
+                long timeoutMillis = SHORTEST_TIMEOUT_MILLIS + random.nextInt((int) (LONGEST_TIMEOUT_MILLIS - SHORTEST_TIMEOUT_MILLIS));
+                assertTrue(answers.submit(node, "supply", new Message("k" + i, round), i, timeoutMillis));
+                assertTrue(answers.submit(node, "payment", "payment" + i + "-" + round, i, timeoutMillis));
+            }
+            ProcessTestSupport.sleep(ROUND_GAP_MILLIS);
+        }
+    }
+
+    private void failInPeriods(Operation operation, SystemError error) {
+        for (int i = 0; i < FAULT_PERIODS; i++) {
+            shim.fail(operation, error);
+            ProcessTestSupport.sleep(FAULT_MILLIS);
+            shim.restore(operation);
+            ProcessTestSupport.sleep(PAUSE_MILLIS);
+        }
+    }
+
+    private void assertNoneLostWhile(Operation operation, SystemError error) throws Exception {
+        try (RawServer endpoint = new RawServer(call -> Response.NO_RESPONSE);
+                RawServer platform = new RawServer(request -> answers.answerPlatform(request, endpoint.address(), DESTINATIONS));
+                TestNodeProcess node = start(platform)) {
+            submitMessages(node);
+            CompletableFuture<Void> faults = CompletableFuture.runAsync(() -> failInPeriods(operation, error));
+            answers.awaitEnds();
+            assertEquals(List.of(), answers.lost());
+            assertTrue(node.isAlive());
+            assertTrue(node.counter("connects_failed_locally") > 0, "no fault was met");
+            faults.join();
+        }
+    }
+
+    /** Guards against late notices where the system gives no socket at the moment at which they are due. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void noNoticeIsLateWhileTheSystemHasNoSockets() throws Exception {
+        assertNoneLostWhile(Operation.SOCKET, SystemError.ENFILE);
+    }
+}
