Connections to the platform are held ready before a notice or a list call needs one

What callers saw: while the system had no socket or local address (ENFILE, EADDRNOTAVAIL), messages that ended by a notice were lost, the notice 0.4 to 1.4 s late. Cause: each call to the platform opened its connection at the moment at which it was due. Change: two unused connections for notices and one for the list are held open, and replaced as they are used, close or age. Where none is left and none can be opened, a connection that has carried a call serves after the rest in which copies of responses are expected. Connections to the platform no longer count among those to endpoints; 12 descriptors instead of 8 are set aside for them. Why it works: what a notice needs is there before it is due.

--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -34,6 +34,8 @@
         REFUSED_NO_MEMORY,
         /** Connections of the node's own calls that did not come up: by the other side, and for lack of a socket or address here. */
         CONNECTS_FAILED, CONNECTS_FAILED_LOCALLY,
+        /** Calls to the platform on a connection that had carried another call, as no connection could be opened. */
+        PLATFORM_CONNECTIONS_REUSED,
         /** Turns of the decision thread that ended by an exception. */
         TURNS_FAILED,
         /** Steps of the wall clock against the node's own clock. */
--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -27,8 +27,9 @@
         long startTimeoutMicros, long warmUpTimeoutMicros, long shutdownGracePeriodMicros, long minShutdownMicros,
         long finalEventPollMicros, long closeTimeoutMicros,
         long slowTurnThresholdMicros, long slowTurnLogIntervalMicros, long noticeDeadlineMicros, long noticeTimeoutMicros,
-        long noticeRetryDelayMicros) {
+        long noticeRetryDelayMicros, int readyNoticeConnections, int readyWatchConnections) {
 
+    private static final int PLATFORM_CONNECTIONS = 12; // notices and list: calls in progress, and connections held ready
     private static final int REQUEST_MEMORY_DIVISOR = 6; // of the heap: requests on their way to the decision thread
     private static final int RESPONSE_MEMORY_DIVISOR = 12; // of the heap: responses of endpoints and the platform
     private static final int RECORD_MEMORY_DIVISOR = 5; // of the heap: records held
@@ -50,7 +51,7 @@
         int descriptors = Math.max(64, sockets - 48); // 48 for the process itself: jar, selectors, journal, log
         int endpointConnections = Math.max(8, Math.min(descriptors / 2, 8 * slots));
         int pendingConnections = 16; // accepted by the listener, not yet handled
-        int clientConnections = Math.max(16, Math.min(descriptors - endpointConnections - 8 - pendingConnections, memoryMb * 2));
+        int clientConnections = Math.max(16, Math.min(descriptors - endpointConnections - PLATFORM_CONNECTIONS - pendingConnections, memoryMb * 2));
         long journalBytes = Math.max(64 << 10, (long) (diskMb * 1_000_000) - (16 << 10));
         int endedRecords = (int) Math.min(16 * 1024, journalBytes / 8 / 160);
         return new Limits(64 << 10, 2 << 20, 8 << 10, 64, 200, 4 << 10,
@@ -65,6 +66,6 @@
                 2_000_000, 700_000, 3, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
                 60_000_000, 1024, 10_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000,
-                100_000, 1_000_000, 300_000, 150_000, 25_000);
+                100_000, 1_000_000, 300_000, 150_000, 25_000, 2, 1);
     }
 }
--- a/src/main/java/terndyke/node/discovery/Watch.java
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -51,7 +51,7 @@
         this.listOnRequest = listOnRequest;
         this.random = random;
         this.limits = limits;
-        this.discovery = ConnectionPool.Peer.forPlatform(discovery);
+        this.discovery = ConnectionPool.Peer.forPlatform(discovery, limits.readyWatchConnections());
         this.endpointRegistry = endpointRegistry;
         this.connectionPool = connectionPool;
         this.log = log;
@@ -69,6 +69,7 @@
         if (now >= dueAt && (listRequested || !listOnRequest)) {
             startCall(now);
         }
+        connectionPool.maintainReadyConnections(discovery, now);
     }
 
     /** The time by which {@link #runDueActions} has to be called again. */
@@ -126,7 +127,7 @@
                 callInFlight = false;
             }
             connectionPool.removePeer(discovery);
-            discovery = ConnectionPool.Peer.forPlatform(address);
+            discovery = ConnectionPool.Peer.forPlatform(address, limits.readyWatchConnections());
             fullListNeeded = true;
             dueAt = 0;
         }
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -93,7 +94,8 @@
         ALWAYS,
         /** Once no copy of an earlier response is expected to come before the response to the next call. */
         WITHOUT_EXPECTED_COPIES,
-        NEVER
+        /** The same, and only while no other connection can be opened. */
+        WITHOUT_NEW_CONNECTIONS
     }
 
     /**
@@ -106,18 +108,22 @@
         private boolean platform; // its connections and responses are exempt from the limits on those of endpoints
         private ConnectionReuse connectionReuse = ConnectionReuse.WITHOUT_EXPECTED_COPIES;
         private volatile boolean removed;
+        private volatile boolean connectFailed; // the last connection to it that was to be opened
+        private ReadyConnections readyConnections; // null for peers whose connections are opened as they are needed
         private final DeliveryTimes deliveryTimes = new DeliveryTimes();
 
         /**
          * A peer of the platform, whose few calls are exempt from the limits on connections and on the memory of responses.
          * Otherwise endpoints that never respond, or never end their responses, could block notices and the watch. The limits
          * set sockets and memory aside for it.
-         * Each call has a connection of its own, on which no late copy of an earlier response can come.
+         * Each call has a connection of its own, on which no late copy of an earlier response can come, for as long as connections
+         * can be opened. So many are held ready for the calls to come, since a call may be due when the system has no socket.
          */
-        public static Peer forPlatform(InetSocketAddress address) {
+        public static Peer forPlatform(InetSocketAddress address, int readyConnections) {
             Peer peer = new Peer(address);
             peer.platform = true;
-            peer.connectionReuse = ConnectionReuse.NEVER;
+            peer.connectionReuse = ConnectionReuse.WITHOUT_NEW_CONNECTIONS;
+            peer.readyConnections = new ReadyConnections(readyConnections);
             return peer;
         }
 
@@ -173,7 +179,7 @@
         private volatile boolean closeAfterCall; // the peer closes it, or closeIdle() has marked it
         private long idleSince;
         private volatile long requestEndOffset = Long.MAX_VALUE; // total bytes sent once the current request is written
-        private boolean countedAsOpen = true;
+        private boolean countedAsOpen; // among those to endpoints
         private ResponseHeadParser responseParser;
         private final HeaderSize trailerSize = new HeaderSize(limits.maxHeadBytes());
         private final MemoryBudget.Account memoryAccount;
@@ -349,10 +355,20 @@
             }
         }
 
-        private boolean isUsable() {
+        boolean isUsable() {
             return session != null && session.isOpen();
         }
 
+        /** True if it was established and is not any more, or if it is not to be used again. */
+        boolean isClosed() {
+            return discarded || session != null && !session.isOpen();
+        }
+
+        /** Since when it has carried no call. */
+        long idleSince() {
+            return idleSince;
+        }
+
         /** True once all bytes of the current request have been written to the socket. */
         private boolean isRequestWritten() {
             Exchange currentExchange = exchange;
@@ -373,53 +389,111 @@
      */
     public PooledConnection startCall(Peer peer, Call call, long now, long inputKnownUntil,
             Call.ResultListener resultListener) {
-        Deque<PooledConnection> idle = idleConnections.getOrDefault(peer, new ArrayDeque<>(0));
-        for (PooledConnection connection = takeIdleConnection(idle, call, now); connection != null;
-                connection = takeIdleConnection(idle, call, now)) {
-            if (connection.isUsable() && now - connection.idleSince < limits.idleConnectionTimeoutMicros()) {
-                connection.firstCall = false; // ordered before the write of the volatile exchange below
-                connection.callCount++;
-                connection.restMicros = now - connection.idleSince;
-                connection.exchange = new Exchange(connection, call, inputKnownUntil, resultListener);
-                connection.session.enqueue(connection.exchange.createCommand(), Command.Priority.NORMAL);
-                busyConnections.add(connection);
-                return connection;
-            }
-            discard(connection);
+        PooledConnection kept = peer.readyConnections == null ? takeIdleConnection(peer, call, now)
+                : takeReadyConnection(peer, now);
+        if (kept != null) {
+            kept.exchange = new Exchange(kept, call, inputKnownUntil, resultListener);
+            busyConnections.add(kept);
+            enqueueCall(kept.session, kept.exchange);
+            return kept;
         }
         if (openCount >= limits.maxEndpointConnections() && !peer.platform && !closeOldestIdle()) {
             return null;
         }
         PooledConnection connection = new PooledConnection(peer);
-        connection.exchange = new Exchange(connection, call, inputKnownUntil, resultListener);
+        Exchange exchange = new Exchange(connection, call, inputKnownUntil, resultListener);
+        connection.exchange = exchange;
         busyConnections.add(connection);
-        openCount++;
+        open(connection, session -> enqueueCall(session, exchange),
+                () -> exchange.deliverResult(Call.Result.withoutResponse(Ending.NOT_CONNECTED)));
+        return connection;
+    }
+
+    /** Queues a call on an established connection. If that is being closed at this moment, the call has not been sent. */
+    private static void enqueueCall(IOSession session, Exchange exchange) {
+        try {
+            session.enqueue(exchange.createCommand(), Command.Priority.NORMAL);
+        } catch (CancelledKeyException e) {
+            exchange.failed(e);
+        }
+    }
+
+    /** Opens a connection; one of the listeners is called on the I/O thread. */
+    private void open(PooledConnection connection, Consumer<IOSession> onConnected, Runnable onFailure) {
+        connection.countedAsOpen = !connection.peer.platform;
+        openCount += connection.countedAsOpen ? 1 : 0;
         counters.add(Counter.CONNECTIONS_OPENED);
-        Exchange exchange = connection.exchange;
         connection.pendingConnect =
-                reactor.connect(peer.address, limits.connectTimeoutMicros(), connection, new FutureCallback<>() {
+                reactor.connect(connection.peer.address, limits.connectTimeoutMicros(), connection, new FutureCallback<>() {
             @Override
             public void completed(IOSession session) {
-                session.enqueue(exchange.createCommand(), Command.Priority.NORMAL);
+                connection.peer.connectFailed = false;
+                onConnected.accept(session);
             }
 
             @Override
             public void failed(Exception cause) {
+                connection.peer.connectFailed = true;
                 counters.add(ConnectFailure.isLocal(cause) ? Counter.CONNECTS_FAILED_LOCALLY : Counter.CONNECTS_FAILED);
                 log.infoAboutRecord(connection.describe() + " not established: " + cause);
-                exchange.deliverResult(Call.Result.withoutResponse(Ending.NOT_CONNECTED));
-                releaseListener.accept(connection);
+                cancelled();
             }
 
             @Override
             public void cancelled() {
-                exchange.deliverResult(Call.Result.withoutResponse(Ending.NOT_CONNECTED));
+                onFailure.run();
                 releaseListener.accept(connection);
             }
         });
+    }
+
+    /**
+     * Replaces the connections that are held ready for a peer, where they are missing, closed or old. To be called in each turn of the owner
+     * thread.
+     */
+    public void maintainReadyConnections(Peer peer, long now) {
+        peer.readyConnections.maintain(now, peer.connectFailed, () -> openReadyConnection(peer, now), this::discard);
+    }
+
+    private PooledConnection openReadyConnection(Peer peer, long now) {
+        PooledConnection connection = new PooledConnection(peer);
+        connection.idleSince = now;
+        open(connection, session -> { }, () -> { });
         return connection;
     }
 
+    /** Takes an unused connection; if another one cannot be opened, one that has rested for as long as copies are expected. */
+    private PooledConnection takeReadyConnection(Peer peer, long now) {
+        PooledConnection unused = peer.readyConnections.takeUnused();
+        PooledConnection rested = unused == null && peer.connectFailed
+                ? peer.readyConnections.takeRested(now, copyWindow.micros()) : null;
+        if (rested != null) {
+            noteReuse(rested, now);
+            counters.add(Counter.PLATFORM_CONNECTIONS_REUSED);
+        }
+        return unused != null ? unused : rested;
+    }
+
+    private static void noteReuse(PooledConnection connection, long now) {
+        connection.firstCall = false; // ordered before the write of the volatile exchange
+        connection.callCount++;
+        connection.restMicros = now - connection.idleSince;
+    }
+
+    /** Takes an idle connection that may serve the call; null if there is none. */
+    private PooledConnection takeIdleConnection(Peer peer, Call call, long now) {
+        Deque<PooledConnection> idle = idleConnections.getOrDefault(peer, new ArrayDeque<>(0));
+        for (PooledConnection connection = takeIdleConnection(idle, call, now); connection != null;
+                connection = takeIdleConnection(idle, call, now)) {
+            if (connection.isUsable() && now - connection.idleSince < limits.idleConnectionTimeoutMicros()) {
+                noteReuse(connection, now);
+                return connection;
+            }
+            discard(connection);
+        }
+        return null;
+    }
+
     /** Takes the most recently used idle connection on which no copy of an earlier response is expected any more; null if none. */
     private PooledConnection takeIdleConnection(Deque<PooledConnection> idle, Call call, long now) {
         for (Iterator<PooledConnection> newestFirst = idle.descendingIterator(); newestFirst.hasNext();) {
@@ -475,16 +549,23 @@
     /** Takes back a connection whose call has ended: keeps it for the next call if it is reusable, else closes it. */
     public void release(PooledConnection connection, long now) {
         busyConnections.remove(connection);
-        if (connection.isUsable() && !connection.discarded && !connection.closeAfterCall && !connection.peer.removed
-                && connection.peer.connectionReuse != ConnectionReuse.NEVER && limits.idleConnectionTimeoutMicros() > 0) {
-            connection.idleSince = now;
-            connection.exchange = null;
-            idleConnections.computeIfAbsent(connection.peer, p -> new ArrayDeque<>(4)).addLast(connection);
-        } else {
+        boolean reusable = connection.isUsable() && !connection.discarded && !connection.closeAfterCall
+                && !connection.peer.removed;
+        connection.idleSince = now;
+        if (!reusable || !keepIdle(connection)) {
             discard(connection);
         }
     }
 
+    private boolean keepIdle(PooledConnection connection) {
+        connection.exchange = null;
+        if (connection.peer.readyConnections != null) {
+            return connection.peer.readyConnections.keepUsed(connection);
+        }
+        return limits.idleConnectionTimeoutMicros() > 0
+                && idleConnections.computeIfAbsent(connection.peer, p -> new ArrayDeque<>(4)).add(connection);
+    }
+
     /**
      * Prevents all calls to a peer that have not started to send. Meant for calls that were decided on before a Retry-After
      * was received but whose connection is established only after it. A call that starts at this very moment is still sent.
@@ -528,6 +609,9 @@
         if (idle != null) {
             idle.forEach(this::discard);
         }
+        if (peer.readyConnections != null) {
+            peer.readyConnections.drain().forEach(this::discard);
+        }
     }
 
     /** Closes connections that have been idle for so long that the peer is about to close them, or that are closed already. */
--- a/src/main/java/terndyke/node/stage/NotificationStage.java
+++ b/src/main/java/terndyke/node/stage/NotificationStage.java
@@ -43,7 +43,7 @@
             DecisionStage decisionStage, RecordStore recordStore, TimerQueue timers, NodeLog log, DecisionLoop decisionLoop) {
         this.limits = limits;
         this.counters = counters;
-        this.platform = ConnectionPool.Peer.forPlatform(platformAddress);
+        this.platform = ConnectionPool.Peer.forPlatform(platformAddress, limits.readyNoticeConnections());
         this.connectionPool = connectionPool;
         this.decisionStage = decisionStage;
         this.recordStore = recordStore;
@@ -145,13 +145,19 @@
         return !pendingNotices.isEmpty();
     }
 
+    /** Sends the notices that are due, and holds connections ready for those to come. */
+    void sendPendingNotices(long now) {
+        startCallIfDue(now);
+        connectionPool.maintainReadyConnections(platform, now);
+    }
+
     /**
      * Sends pending notices, one call at a time with as many notices as fit into a body. After a restart a node may have
      * hundreds of notices to send and little CPU: each call then takes 100 ms or more, and with 64 notices per call the
      * last ones were late. If the platform rejects a batch as malformed, the batch size is halved until the faulty notice
      * is alone in its call.
      */
-    void sendPendingNotices(long now) {
+    private void startCallIfDue(long now) {
         if (callInFlight || pendingNotices.isEmpty() || now < retryAt) {
             return;
         }
@@ -216,7 +222,7 @@
                 callNumber++;
             }
             connectionPool.removePeer(platform);
-            platform = ConnectionPool.Peer.forPlatform(address);
+            platform = ConnectionPool.Peer.forPlatform(address, limits.readyNoticeConnections());
             consecutiveFailures = 0;
             retryAt = 0;
         }
--- a/src/test/java/terndyke/NoticeFaultProcessTest.java
+++ b/src/test/java/terndyke/NoticeFaultProcessTest.java
@@ -81,4 +81,11 @@
     void noNoticeIsLateWhileTheSystemHasNoSockets() throws Exception {
         assertNoneLostWhile(Operation.SOCKET, SystemError.ENFILE);
     }
+
+    /** Guards against the same where it has no local address for a connection. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void noNoticeIsLateWhileTheSystemHasNoLocalAddresses() throws Exception {
+        assertNoneLostWhile(Operation.CONNECT, SystemError.EADDRNOTAVAIL);
+    }
 }
