A call with notices that is not answered soon holds up no other notice

What callors saw: where several calls with notices brought no answer, the notices behind them were late, and their messages lost. Cause: one call was out at a time, with 150, 150, 300 ms for its answer, and all that fell due meanwhile waited behind it. Change: NoticeSender, taken out of NotificationStage.

--- a/src/test/java/terndyke/NoticeFaultProcessTest.java
+++ b/src/test/java/terndyke/NoticeFaultProcessTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import terndyke.CallRecorder.Message;
+import terndyke.RawServer.Request;
 import terndyke.RawServer.Response;
 import terndyke.SystemFaultShim.Operation;
 import terndyke.SystemFaultShim.SystemError;
@@ -27,6 +28,7 @@
     private static final long FAULT_MILLIS = 1_500;
     private static final long PAUSE_MILLIS = 500;
     private static final int FAULT_PERIODS = 6;
+    private static final double UNANSWERED_SHARE = 0.4;
 
     private final FinalAnswerRecorder answers = new FinalAnswerRecorder();
     private final Random random = new Random(1);
@@ -88,4 +90,27 @@
     void noNoticeIsLateWhileTheSystemHasNoLocalAddresses() throws Exception {
         assertNoneLostWhile(Operation.CONNECT, SystemError.EADDRNOTAVAIL);
     }
+
+    private Response answerSomeNotices(Request request, RawServer endpoint) {
+        synchronized (random) {
+            if (request.path().equals("/v2/finals") && random.nextDouble() < UNANSWERED_SHARE) {
+                return Response.NO_RESPONSE;
+            }
+        }
+        return answers.answerPlatform(request, endpoint.address(), DESTINATIONS);
+    }
+
+    /** Guards against late notices where several calls with notices in a row bring no answer. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void noNoticeIsLateWhileFourInTenCallsWithNoticesAreUnanswered() throws Exception {
+        try (RawServer endpoint = new RawServer(call -> Response.NO_RESPONSE);
+                RawServer platform = new RawServer(request -> answerSomeNotices(request, endpoint));
+                TestNodeProcess node = start(platform)) {
+            submitMessages(node);
+            answers.awaitEnds();
+            assertEquals(List.of(), answers.lost());
+            assertTrue(node.counter("notices_unanswered") > 0, "no fault was met");
+        }
+    }
 }
--- a/src/test/java/terndyke/node/stage/StageTest.java
+++ b/src/test/java/terndyke/node/stage/StageTest.java
@@ -326,7 +326,7 @@
         TrackedRecord record = addRecord("a\"b\\c\u0007");
         recordStore.endRecord(record, JournalEntry.RecordOutcome.BOUNCED, 500_000);
         assertEquals("{\"ref\":\"a\\\"b\\\\c\\u0007\",\"result\":\"bounced\",\"wait_ms\":500}",
-                NotificationStage.formatNotice(record));
+                NoticeSender.formatNotice(record));
     }
 
     @Test
@@ -338,12 +338,12 @@
             records.add(record);
         }
         StringBuilder lines = new StringBuilder();
-        List<TrackedRecord> batch = NotificationStage.nextBatch(records, Integer.MAX_VALUE, limits.maxBodyBytes(), lines);
+        List<TrackedRecord> batch = NoticeSender.nextBatch(records, Integer.MAX_VALUE, limits.maxBodyBytes(), lines);
         assertTrue(batch.size() > 800, "records in one call: " + batch.size());
         assertTrue(lines.length() <= limits.maxBodyBytes() && lines.length() > limits.maxBodyBytes() - 100);
         assertEquals(records.subList(0, batch.size()), batch);
-        assertEquals(3, NotificationStage.nextBatch(records, 3, limits.maxBodyBytes(), new StringBuilder()).size());
-        assertEquals(1, NotificationStage.nextBatch(records, 3, 10, new StringBuilder()).size(),
+        assertEquals(3, NoticeSender.nextBatch(records, 3, limits.maxBodyBytes(), new StringBuilder()).size());
+        assertEquals(1, NoticeSender.nextBatch(records, 3, 10, new StringBuilder()).size(),
                 "a batch holds at least one notice, however long it is");
     }
 
