--- a/src/test/java/terndyke/FinalAnswerRecorder.java
+++ b/src/test/java/terndyke/FinalAnswerRecorder.java
@@ -41,6 +41,16 @@
         return note(message.id(), System.nanoTime(), timeoutMillis, node.submit(grade, message, destination, timeoutMillis));
     }
 
+    /** Hands a message in through a client; notes it if it is taken on, and returns what the client sees. */
+    PersistentClient.Outcome submit(PersistentClient client, int port, String grade, String id, int destination, long timeoutMillis) {
+        long handedInNanos = System.nanoTime();
+        PersistentClient.Outcome outcome = client.submit(port, TestNodeProcess.requestText(grade, id, destination, timeoutMillis));
+        if (outcome == PersistentClient.Outcome.TAKEN) {
+            submissions.put(id, new Submission(handedInNanos, timeoutMillis));
+        }
+        return outcome;
+    }
+
     private boolean note(String id, long handedInNanos, long timeoutMillis, String answer) {
         boolean taken = answer.contains(" 202 ");
         if (taken) {
--- a/src/test/java/terndyke/SystemFaultShim.java
+++ b/src/test/java/terndyke/SystemFaultShim.java
@@ -26,7 +26,7 @@
 
     /** The errors of the C library that the tests use, by their numbers on Linux. */
     enum SystemError {
-        EIO(5), ENOMEM(12), ENFILE(23), EMFILE(24), ENOSPC(28), EADDRNOTAVAIL(99), ENETUNREACH(101), ECONNABORTED(103),
+        EINTR(4), EIO(5), ENOMEM(12), ENFILE(23), EMFILE(24), ENOSPC(28), EADDRNOTAVAIL(99), ENETUNREACH(101), ECONNABORTED(103),
         ENOBUFS(105), ETIMEDOUT(110),
         /** No error: only a part of the bytes is read or written. */
         SHORT_COUNT(-1);
--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -232,10 +232,14 @@
 
     /** Submits a message on a connection of its own; returns the first line of the answer. */
     String submit(String grade, String id, int destination, long timeoutMillis) throws IOException {
+        return sendRaw(requestText(grade, id, destination, timeoutMillis), false).lines().findFirst().orElse("");
+    }
+
+    /** The request that hands a message in. */
+    static String requestText(String grade, String id, int destination, long timeoutMillis) {
         String body = "body of " + id;
-        String request = "POST /" + grade + " HTTP/1.1\r\nHost: n0\r\nRequest-Id: " + id + "\r\nX-Consignee: dest=" + destination
+        return "POST /" + grade + " HTTP/1.1\r\nHost: n0\r\nRequest-Id: " + id + "\r\nX-Consignee: dest=" + destination
                 + "\r\nRequest-Timeout-Ms: " + timeoutMillis + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
-        return sendRaw(request, false).lines().findFirst().orElse("");
     }
 
     /** Submits a message that is kept in order with the others of its key; returns the first line of the answer. */
