A listener of our own goes on whatever accept fails with

What callors saw: from the first accept that failed (ENFILE, EMFILE, ENOBUFS, ENOMEM) on nobody could connect; the process exited with 70, and what it had taken on was late. Cause: the library's listener ends at an IOException from accept; the permits only guarded against descriptors used up by clients, not against a system that has none. Evidence: theNodeGoesOnListeningWhileAcceptFails, red before, with 'thread terndyke-accept ended' in the log. Change: ClientListener accepts on a thread of its own with the same calls, a retry after 20 ms, and hands channels to the library's I/O thread. The library has no public method for that, so AcceptedChannels stands in its package. Why it works: a failed accept leaves the connection in the backlog.

--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -4,11 +4,8 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Future;
 import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.ContentLengthStrategy;
@@ -36,11 +33,11 @@
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.net.NamedEndpoint;
-import org.apache.hc.core5.reactor.DefaultListeningIOReactor;
+import org.apache.hc.core5.reactor.AcceptedChannels;
+import org.apache.hc.core5.reactor.DefaultConnectingIOReactor;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.reactor.ListenerEndpoint;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
@@ -53,9 +50,7 @@
 
 /** The node's network I/O: one thread for the clients' connections and for the outbound ones, and one that accepts clients. */
 public final class Reactor {
-    private static final Object LISTEN_ATTACHMENT = new Object();
-
-    private final DefaultListeningIOReactor ioReactor;
+    private final DefaultConnectingIOReactor ioReactor;
     private final DefaultHttpRequestWriterFactory requestWriterFactory;
     private final Limits limits;
     private final Counters counters;
@@ -65,7 +60,7 @@
     private final DefaultHttpResponseWriterFactory responseWriterFactory;
     private final Semaphore connectionPermits; // one for each client's connection, from accept to close
     private final FatalErrorHandler fatalErrorHandler;
-    private volatile Thread acceptThread;
+    private volatile ClientListener clientListener;
     private volatile ClientRequestHandler requestHandler;
     private volatile boolean closing;
 
@@ -79,34 +74,12 @@
         httpConfig = createHttpConfig(limits);
         responseWriterFactory = new DefaultHttpResponseWriterFactory(httpConfig);
         requestWriterFactory = new DefaultHttpRequestWriterFactory(httpConfig);
-        IOReactorConfig ioConfig = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoReuseAddress(true)
-                .setSelectInterval(TimeValue.ofMicroseconds(limits.selectIntervalMicros()))
-                .setBacklogSize(limits.listenBacklog()).build();
+        IOReactorConfig ioConfig = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
+                .setSelectInterval(TimeValue.ofMicroseconds(limits.selectIntervalMicros())).build();
         connectionPermits = new Semaphore(limits.maxClientConnections() + limits.maxExcessClientConnections()
                 + limits.maxPendingConnections());
-        ioReactor = new DefaultListeningIOReactor(this::createEventHandler, ioConfig,
-                task -> createDaemonThread(task, "terndyke-io"), task -> {
-            acceptThread = createDaemonThread(task, "terndyke-accept");
-            return acceptThread;
-        }, null, this::logIoError, null, null, ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK, threads -> awaitConnectionPermit());
-    }
-
-    /**
-     * Called by the library to choose the I/O thread, of which there is one, for the next connection; blocks the accept
-     * thread until a client may be accepted. Without this, clients that connect faster than they are processed could use up
-     * all file descriptors, and the first accept that fails for lack of one ends the library's listener for good. Connections
-     * in excess wait in the operating system's listen backlog.
-     */
-    private int awaitConnectionPermit() {
-        try {
-            while (Thread.currentThread() == acceptThread && !closing
-                    && !connectionPermits.tryAcquire(limits.selectIntervalMicros(), TimeUnit.MICROSECONDS)) {
-                counters.add(Counter.ACCEPTS_HELD);
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        return 0;
+        ioReactor = new DefaultConnectingIOReactor(this::createEventHandler, ioConfig, task -> createDaemonThread(task, "terndyke-io"), null,
+                this::logIoError, null, ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK);
     }
 
     private static Http1Config createHttpConfig(Limits limits) {
@@ -339,18 +312,16 @@
         ioReactor.start();
     }
 
-    /** Starts to accept clients on an address. Fails if that does not succeed within the start timeout. */
+    /** Starts to accept clients on an address. */
     public void listen(InetSocketAddress address, ClientRequestHandler handler) throws IOException {
-        this.requestHandler = handler;
-        Future<ListenerEndpoint> listenFuture = ioReactor.listen(address, LISTEN_ATTACHMENT, null);
+        requestHandler = handler;
         try {
-            listenFuture.get(limits.startTimeoutMicros(), TimeUnit.MICROSECONDS);
-        } catch (ExecutionException | TimeoutException e) {
+            clientListener = ClientListener.open(address, connectionPermits, channel -> AcceptedChannels.enqueue(ioReactor, channel),
+                    limits, counters, log);
+        } catch (IOException e) {
             throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted while starting to listen", e);
         }
+        createDaemonThread(clientListener, "terndyke-accept").start();
     }
 
     /** Opens an outbound connection. */
@@ -378,8 +349,19 @@
     /** Closes idle connections gracefully, waits for exchanges in progress up to the close timeout, then closes the rest. */
     public void close() throws InterruptedException {
         closing = true;
+        closeListener();
         ioReactor.initiateShutdown();
         ioReactor.awaitShutdown(TimeValue.ofMicroseconds(limits.closeTimeoutMicros()));
         ioReactor.close(CloseMode.IMMEDIATE);
     }
+
+    private void closeListener() {
+        try {
+            if (clientListener != null) {
+                clientListener.close();
+            }
+        } catch (IOException e) {
+            log.warn("the listener cannot be closed", e);
+        }
+    }
 }
