The identity of the monotonic clock is read without direct memory

What callers saw: a node with too little direct memory ended before its first log line, where an I/O thread that ends is to be reported with status 70. Cause: reads the identity by Files.readString, which takes a direct buffer of 8 KiB on the main thread. Change: a FileInputStream.

--- a/src/main/java/terndyke/node/MonotonicClockIdentity.java
+++ b/src/main/java/terndyke/node/MonotonicClockIdentity.java
@@ -1,7 +1,8 @@
 package terndyke.node;
 
+import java.io.FileInputStream;
 import java.io.IOException;
-import java.nio.file.Files;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 
 /**
@@ -10,18 +11,31 @@
  */
 final class MonotonicClockIdentity {
     private static final Path BOOT_ID = Path.of("/proc/sys/kernel/random/boot_id");
-    private static final Path TIME_NAMESPACE_OFFSETS = Path.of("/proc/self/timens_offsets");
+    private static final Path TIME_NAMESPACE_OFFSETS = Path.of("/proc/self/timens_offsets"); // missing in kernels without such namespaces
 
     private MonotonicClockIdentity() { }
 
     /** A text that is equal in two processes only if they share the clock; empty if that cannot be known. */
     static String read() {
+        return read(BOOT_ID, TIME_NAMESPACE_OFFSETS);
+    }
+
+    static String read(Path bootId, Path namespaceOffsets) {
+        if (!bootId.toFile().exists()) {
+            return "";
+        }
         try {
-            String namespaceOffsets = Files.exists(TIME_NAMESPACE_OFFSETS) ? Files.readString(TIME_NAMESPACE_OFFSETS) : "";
-            return String.join(" ", System.getProperty("java.vm.name"), Files.readString(BOOT_ID).strip(),
-                    namespaceOffsets.strip().replaceAll("\\s+", " "));
+            String offsets = namespaceOffsets.toFile().exists() ? readFile(namespaceOffsets) : "";
+            return String.join(" ", System.getProperty("java.vm.name"), readFile(bootId).strip(), offsets.strip().replaceAll("\\s+", " "));
         } catch (IOException e) {
             return "";
         }
     }
+
+    /** Unlike the methods of java.nio.file, this takes no direct memory. */
+    private static String readFile(Path path) throws IOException {
+        try (FileInputStream in = new FileInputStream(path.toFile())) {
+            return new String(in.readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
 }
