The identity of the monotonic clock is read again where it cannot be read at once

What callers would see: a node that starts while the system has no descriptor (ENFILE, EMFILE) takes the wall clock for the clock of its previous run, and after a step of it gives messages up too early or too late. Cause: one failed open made the identity empty, which counts as another boot. Evidence: anIdentityThatCannotBeReadAtOnceIsReadAgain, red 1 of 1 with the code before; found by reading, not met on a process. Change: 50 attempts, 100 ms apart. Measured: NodeClockTest 7 of 7, ServeProcessTest 4 of 4.

--- a/src/main/java/terndyke/node/MonotonicClockIdentity.java
+++ b/src/main/java/terndyke/node/MonotonicClockIdentity.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Tells one monotonic clock from another. On Linux, System.nanoTime() of the HotSpot JVM is CLOCK_MONOTONIC: all processes share it from the
@@ -12,6 +13,8 @@
 final class MonotonicClockIdentity {
     private static final Path BOOT_ID = Path.of("/proc/sys/kernel/random/boot_id");
     private static final Path TIME_NAMESPACE_OFFSETS = Path.of("/proc/self/timens_offsets"); // missing in kernels without such namespaces
+    private static final int MAX_ATTEMPTS = 50; // the system may have no descriptor for a while
+    private static final long RETRY_MILLIS = 100;
 
     private MonotonicClockIdentity() { }
 
@@ -24,12 +27,15 @@
         if (!bootId.toFile().exists()) {
             return "";
         }
-        try {
-            String offsets = namespaceOffsets.toFile().exists() ? readFile(namespaceOffsets) : "";
-            return String.join(" ", System.getProperty("java.vm.name"), readFile(bootId).strip(), offsets.strip().replaceAll("\\s+", " "));
-        } catch (IOException e) {
-            return "";
+        for (int attempt = 1; attempt <= MAX_ATTEMPTS; attempt++) {
+            try {
+                String offsets = namespaceOffsets.toFile().exists() ? readFile(namespaceOffsets) : "";
+                return String.join(" ", System.getProperty("java.vm.name"), readFile(bootId).strip(), offsets.strip().replaceAll("\\s+", " "));
+            } catch (IOException e) {
+                pause();
+            }
         }
+        return "";
     }
 
     /** Unlike the methods of java.nio.file, this takes no direct memory. */
@@ -38,4 +44,12 @@
             return new String(in.readAllBytes(), StandardCharsets.US_ASCII);
         }
     }
+
+    private static void pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/src/test/java/terndyke/node/NodeClockTest.java
+++ b/src/test/java/terndyke/node/NodeClockTest.java
@@ -4,7 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 import terndyke.node.journal.JournalEntry.ClockReference;
 
@@ -13,6 +20,7 @@
     private static final long WALL_MICROS = 1_700_000_000_000_000L;
     private static final long MONOTONIC_MICROS = 40_000_000;
     private static final long LATEST_MICROS = WALL_MICROS - 1_000_000;
+    private static final long UNREADABLE_MILLIS = 300;
     private static final ClockReference PREVIOUS_RUN = new ClockReference("boot 1", WALL_MICROS - MONOTONIC_MICROS);
 
     private static NodeClock restart(ClockReference previous, String identity, long monotonicMicros, long wallMicros) {
@@ -57,4 +65,15 @@
     void thisMachineHasAMonotonicClockThatOutlivesTheProcess() {
         assertFalse(MonotonicClockIdentity.read().isEmpty());
     }
+
+    /** Guards against deadlines on the wall clock where the system has no descriptor at the moment of the start. */
+    @Test
+    void anIdentityThatCannotBeReadAtOnceIsReadAgain(@TempDir Path folder) throws Exception {
+        Path bootId = Files.createDirectory(folder.resolve("boot_id")); // cannot be read as a file
+        CompletableFuture<String> identity = CompletableFuture.supplyAsync(() ->
+                MonotonicClockIdentity.read(bootId, folder.resolve("missing")));
+        Thread.sleep(UNREADABLE_MILLIS);
+        Files.move(Files.writeString(folder.resolve("readable"), "boot 1"), bootId, StandardCopyOption.REPLACE_EXISTING);
+        assertTrue(identity.get(5, TimeUnit.SECONDS).contains("boot 1"));
+    }
 }
