Connections end at deadlines on the monotonic clock

What callers saw: after a step of the wall clock forward, requests that were being sent were closed unanswered, so lost; after a step back, clients that stop inside a request kept their places, and calls waited for connections that never come up, for as long as the step. Cause: the library measures its time-outs by the wall clock. A client's connection is closed by the I/O thread, and only if no input has come by then. The wait for open exchanges at the exit is on the monotonic clock as well. ClientConnectionsTest: its stand-in session noted the library's time-outs; it reads the connections' deadlines instead, with the same bounds, and has one test more.

--- a/src/main/java/terndyke/node/http/ClientConnections.java
+++ b/src/main/java/terndyke/node/http/ClientConnections.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
@@ -13,7 +14,6 @@
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.util.Timeout;
 
 import terndyke.node.Counters;
 import terndyke.node.Counters.Counter;
@@ -27,19 +27,23 @@
  */
 final class ClientConnections {
     private static final String REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    private static final long FORCED_CLOSE_MICROS = 1_000_000; // after the deadline, where the owner thread could not close
 
     private final Limits limits;
     private final LongSupplier clock;
     private final Counters counters;
+    private final DeadlineMonitor deadlineMonitor;
     private final MemoryBudget requestMemory;
     private final ByteBuffer discardBuffer;
     private final Set<ClientConnection> idleConnections = new LinkedHashSet<>(); // no request in progress; longest idle first
     private final Queue<ClientConnection> uncountedResponses = new ConcurrentLinkedQueue<>(); // by other threads
     private int openCount;
 
-    ClientConnections(Limits limits, LongSupplier clock, Counters counters) {
+    /** Creates the connections' table; the monitor's clock is the given one. */
+    ClientConnections(Limits limits, LongSupplier clock, DeadlineMonitor deadlineMonitor, Counters counters) {
         this.limits = limits;
         this.clock = clock;
+        this.deadlineMonitor = deadlineMonitor;
         this.counters = counters;
         requestMemory = new MemoryBudget(limits.maxRequestMemoryBytes(), clock, counters, Counter.REQUEST_MEMORY_BYTES,
                 Counter.REQUESTS_EVICTED);
@@ -72,6 +76,7 @@
         openCount++;
         ClientConnection connection = new ClientConnection(session);
         connection.markIdle();
+        deadlineMonitor.add(connection);
         return connection;
     }
 
@@ -103,11 +108,12 @@
     }
 
     /** The connection of one client. */
-    final class ClientConnection {
+    final class ClientConnection implements DeadlineMonitor.TimedConnection {
         private final IOSession session;
         private final Thread ownerThread = Thread.currentThread();
         private final Queue<Runnable> pendingResponses = new ConcurrentLinkedQueue<>();
         private final long connectedAt = clock.getAsLong();
+        private volatile long deadline = DeadlineMonitor.NONE; // by when it is closed, if no input or response comes before
         private long phaseStartedAt; // start of the idle time, or of the request being read
         private boolean readingRequest;
         private boolean requestReceived;
@@ -208,8 +214,7 @@
         private void markIdle() {
             phaseStartedAt = clock.getAsLong();
             idleConnections.add(this);
-            session.setSocketTimeout(Timeout.ofMicroseconds(
-                    requestReceived ? limits.idleClientTimeoutMicros() : limits.silentClientTimeoutMicros()));
+            deadline = phaseStartedAt + (requestReceived ? limits.idleClientTimeoutMicros() : limits.silentClientTimeoutMicros());
         }
 
         /** Called when input arrives. One deadline applies to the whole request it belongs to, however slowly it arrives. */
@@ -219,12 +224,44 @@
             idleConnections.remove(this);
             phaseStartedAt = readingRequest ? phaseStartedAt : now;
             readingRequest = true;
-            long deadline = Math.min(phaseStartedAt + limits.requestReadTimeoutMicros(),
+            deadline = Math.min(phaseStartedAt + limits.requestReadTimeoutMicros(),
                     requestReceived ? Long.MAX_VALUE : connectedAt + limits.firstRequestTimeoutMicros());
-            if (deadline <= now) {
-                close();
+            closeIfOverdue();
+        }
+
+        @Override
+        public long deadline() {
+            return deadline;
+        }
+
+        /**
+         * Wakes up the thread that owns the connection, which closes it unless input has come by then. It cannot where the client
+         * does not read what is sent to it.
+         */
+        @Override
+        public void onDeadlinePassed(long now) {
+            if (now - deadline >= FORCED_CLOSE_MICROS) {
+                session.close(CloseMode.IMMEDIATE);
             } else {
-                session.setSocketTimeout(Timeout.ofMicroseconds(deadline - now));
+                requestOutputEvent();
+            }
+        }
+
+        /** Closes the connection if its deadline has passed; returns whether it has. */
+        boolean closeIfOverdue() {
+            boolean overdue = deadline <= clock.getAsLong();
+            if (overdue) {
+                close();
+            }
+            return overdue;
+        }
+
+        /** Lets the library call the owner thread as soon as output can be written. */
+        private void requestOutputEvent() {
+            try {
+                session.setEvent(SelectionKey.OP_WRITE);
+            } catch (CancelledKeyException e) {
+                // it is being closed
             }
         }
 
@@ -263,7 +300,7 @@
             readingRequest = false;
             requestReceived = true;
             unansweredRequests++;
-            session.setSocketTimeout(Timeout.DISABLED); // every complete request is answered, however late
+            deadline = DeadlineMonitor.NONE; // every complete request is answered, however late
         }
 
         /**
@@ -283,7 +320,7 @@
                 unreadSince = unreadSince != 0 ? unreadSince : clock.getAsLong();
                 readingRequest = false;
                 readingSuspended = true;
-                session.setSocketTimeout(Timeout.DISABLED);
+                deadline = DeadlineMonitor.NONE;
                 session.setEvent(SelectionKey.OP_WRITE); // for a response whose thread has not seen that reading is suspended
                 counters.add(Counter.READS_SUSPENDED);
             }
@@ -367,6 +404,8 @@
         void markClosed() {
             openCount -= closed ? 0 : 1;
             closed = true;
+            deadline = DeadlineMonitor.NONE;
+            deadlineMonitor.remove(this);
             incompleteRequest = null;
             memoryAccount.resize(0);
             idleConnections.remove(this);
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -41,7 +41,6 @@
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.reactor.Command;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.util.Timeout;
 
 import terndyke.api.Ending;
 import terndyke.node.Counters;
@@ -160,7 +159,7 @@
      * would be taken for the response to the next call. The same rule handles endpoints that close the connection or
      * send garbage while it is idle.
      */
-    public final class PooledConnection {
+    public final class PooledConnection implements DeadlineMonitor.TimedConnection {
         private final Peer peer;
         private final long number = ++lastConnectionNumber;
         private int callCount = 1; // with the current call
@@ -174,7 +173,9 @@
         private volatile IOSession session;
         private volatile HttpConnection httpConnection;
         private volatile boolean discarded;
-        private Future<IOSession> pendingConnect;
+        private volatile Future<IOSession> pendingConnect;
+        private volatile long connectDeadline = DeadlineMonitor.NONE; // on System.nanoTime(), in microseconds
+        private volatile boolean connectTimedOut;
         private volatile Exchange exchange;
         private volatile boolean closeAfterCall; // the peer closes it, or closeIdle() has marked it
         private long idleSince;
@@ -201,6 +202,28 @@
             }
         }
 
+        @Override
+        public long deadline() {
+            Exchange currentExchange = exchange;
+            if (session == null) {
+                return connectDeadline;
+            }
+            return currentExchange == null || currentExchange.completed ? DeadlineMonitor.NONE : currentExchange.responseDeadline;
+        }
+
+        /** Gives up a connection that has not come up in time, or a response whose rest has not. */
+        @Override
+        public void onDeadlinePassed(long now) {
+            IOSession currentSession = session;
+            Future<IOSession> connect = pendingConnect;
+            if (currentSession != null && deadline() <= now) {
+                currentSession.close(CloseMode.IMMEDIATE);
+            } else if (currentSession == null && connect != null) {
+                connectTimedOut = true;
+                connect.cancel(true);
+            }
+        }
+
         /** The number of bytes that have been received on this connection and not parsed. */
         int unparsedBytes() {
             return responseParser.unparsedBytes();
@@ -423,8 +446,8 @@
         connection.countedAsOpen = !connection.peer.platform;
         openCount += connection.countedAsOpen ? 1 : 0;
         counters.add(Counter.CONNECTIONS_OPENED);
-        connection.pendingConnect =
-                reactor.connect(connection.peer.address, limits.connectTimeoutMicros(), connection, new FutureCallback<>() {
+        connection.connectDeadline = System.nanoTime() / 1000 + limits.connectTimeoutMicros();
+        connection.pendingConnect = reactor.connect(connection.peer.address, connection, new FutureCallback<>() {
             @Override
             public void completed(IOSession session) {
                 connection.peer.connectFailed = false;
@@ -433,14 +456,25 @@
 
             @Override
             public void failed(Exception cause) {
-                connection.peer.connectFailed = true;
-                counters.add(ConnectFailure.isLocal(cause) ? Counter.CONNECTS_FAILED_LOCALLY : Counter.CONNECTS_FAILED);
-                log.infoAboutRecord(connection.describe() + " not established: " + cause);
-                cancelled();
+                noteFailure(ConnectFailure.isLocal(cause) ? Counter.CONNECTS_FAILED_LOCALLY : Counter.CONNECTS_FAILED, cause.toString());
+                end();
             }
 
             @Override
             public void cancelled() {
+                if (connection.connectTimedOut) {
+                    noteFailure(Counter.CONNECTS_FAILED, "no answer in " + limits.connectTimeoutMicros() / 1000 + " ms");
+                }
+                end();
+            }
+
+            private void noteFailure(Counter counter, String reason) {
+                connection.peer.connectFailed = true;
+                counters.add(counter);
+                log.infoAboutRecord(connection.describe() + " not established: " + reason);
+            }
+
+            private void end() {
                 onFailure.run();
                 releaseListener.accept(connection);
             }
@@ -683,7 +717,7 @@
         private boolean released;
         private int discardedBytes; // bytes of the response body that were not kept
         private int informationalResponses;
-        private long responseDeadline; // by when the response has to be complete, on System.nanoTime(), in microseconds
+        private volatile long responseDeadline = DeadlineMonitor.NONE; // by when the response has to be complete, as connectDeadline
         private ResponseDefect defect = ResponseDefect.NONE;
 
         Exchange(PooledConnection pooledConnection, Call call, long inputKnownUntil, Call.ResultListener resultListener) {
@@ -769,15 +803,12 @@
         /** Called when part of the response has arrived: one deadline applies to all of the rest, however slowly it arrives. */
         void onPartialResponse() {
             long now = System.nanoTime() / 1000;
-            responseDeadline = responseDeadline == 0 ? now + limits.responseReadTimeoutMicros() : responseDeadline;
+            responseDeadline = Math.min(responseDeadline, now + limits.responseReadTimeoutMicros());
             if (responseHead == null && isDone()) {
                 deliverResult(new Call.Result(status, null, 0, false, null, null));
             }
             if (now >= responseDeadline) {
-                defect = ResponseDefect.STALLED;
                 failed(null);
-            } else if (pooledConnection.session != null) {
-                pooledConnection.session.setSocketTimeout(Timeout.ofMicroseconds(responseDeadline - now));
             }
         }
 
@@ -786,9 +817,6 @@
                 completed = true;
                 pooledConnection.previousResponseAt = pooledConnection.lastResponseAt;
                 pooledConnection.lastResponseAt = System.nanoTime() / 1000;
-                if (pooledConnection.session != null) {
-                    pooledConnection.session.setSocketTimeout(Timeout.DISABLED); // the owner thread closes idle connections
-                }
             }
             if (!pooledConnection.readingInput) {
                 releaseConnection();
@@ -827,7 +855,6 @@
                     + headBytes + call.body().length;
             requestStarted = true;
             requestStartedAt = System.nanoTime() / 1000;
-            pooledConnection.session.setSocketTimeout(Timeout.DISABLED);
             channel.sendRequest(request, call.body().length == 0 ? null
                     : new BasicEntityDetails(call.body().length, null), context);
         }
@@ -1017,6 +1044,9 @@
             if (defect != ResponseDefect.NONE) {
                 return defect;
             }
+            if (System.nanoTime() / 1000 >= responseDeadline) {
+                return ResponseDefect.STALLED;
+            }
             if (cause instanceof HttpException) {
                 return ResponseDefect.UNREADABLE;
             }
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -37,6 +37,7 @@
 import org.apache.hc.core5.reactor.DefaultConnectingIOReactor;
 import org.apache.hc.core5.reactor.IOEventHandler;
 import org.apache.hc.core5.reactor.IOReactorConfig;
+import org.apache.hc.core5.reactor.IOReactorStatus;
 import org.apache.hc.core5.reactor.IOSession;
 import org.apache.hc.core5.reactor.ProtocolIOSession;
 import org.apache.hc.core5.util.TimeValue;
@@ -50,11 +51,14 @@
 
 /** The node's network I/O: one thread for the clients' connections and for the outbound ones, and one that accepts clients. */
 public final class Reactor {
+    private static final long SHUTDOWN_POLL_MILLIS = 10;
+
     private final DefaultConnectingIOReactor ioReactor;
     private final DefaultHttpRequestWriterFactory requestWriterFactory;
     private final Limits limits;
     private final Counters counters;
     private final NodeLog log;
+    private final DeadlineMonitor deadlineMonitor;
     private final ClientConnections clientConnections;
     private final Http1Config httpConfig;
     private final DefaultHttpResponseWriterFactory responseWriterFactory;
@@ -70,11 +74,12 @@
         this.limits = limits;
         this.counters = counters;
         this.log = log;
-        clientConnections = new ClientConnections(limits, () -> System.nanoTime() / 1000, counters);
+        deadlineMonitor = new DeadlineMonitor(() -> System.nanoTime() / 1000, limits.selectIntervalMicros());
+        clientConnections = new ClientConnections(limits, () -> System.nanoTime() / 1000, deadlineMonitor, counters);
         httpConfig = createHttpConfig(limits);
         responseWriterFactory = new DefaultHttpResponseWriterFactory(httpConfig);
         requestWriterFactory = new DefaultHttpRequestWriterFactory(httpConfig);
-        IOReactorConfig ioConfig = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true)
+        IOReactorConfig ioConfig = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoTimeout(Timeout.DISABLED)
                 .setSelectInterval(TimeValue.ofMicroseconds(limits.selectIntervalMicros())).build();
         connectionPermits = new Semaphore(limits.maxClientConnections() + limits.maxExcessClientConnections()
                 + limits.maxPendingConnections());
@@ -198,6 +203,7 @@
         @Override
         public void disconnected(IOSession session) {
             super.disconnected(session);
+            deadlineMonitor.remove(pooledConnection);
             pooledConnection.onDisconnected();
         }
     }
@@ -235,6 +241,9 @@
          */
         @Override
         public void outputReady(IOSession session) throws IOException {
+            if (clientConnection.closeIfOverdue()) {
+                return;
+            }
             do {
                 clientConnection.writePendingResponses();
                 super.outputReady(session);
@@ -244,11 +253,6 @@
             }
         }
 
-        @Override
-        public void timeout(IOSession session, Timeout timeout) {
-            clientConnection.close();
-        }
-
         @Override
         public void disconnected(IOSession session) {
             clientConnection.markClosed();
@@ -310,6 +314,7 @@
     /** Starts the I/O threads. */
     public void start() {
         ioReactor.start();
+        createDaemonThread(deadlineMonitor, "terndyke-deadlines").start();
     }
 
     /** Starts to accept clients on an address. */
@@ -324,9 +329,10 @@
         createDaemonThread(clientListener, "terndyke-accept").start();
     }
 
-    /** Opens an outbound connection. */
-    Future<IOSession> connect(InetSocketAddress address, long timeout, ConnectionPool.PooledConnection pooledConnection,
+    /** Opens an outbound connection, whose deadlines are monitored from now on. */
+    Future<IOSession> connect(InetSocketAddress address, ConnectionPool.PooledConnection pooledConnection,
             FutureCallback<IOSession> callback) {
+        deadlineMonitor.add(pooledConnection);
         return ioReactor.connect(new NamedEndpoint() {
             @Override
             public String getHostName() {
@@ -337,7 +343,24 @@
             public int getPort() {
                 return address.getPort();
             }
-        }, address, null, Timeout.ofMicroseconds(timeout), pooledConnection, callback);
+        }, address, null, Timeout.DISABLED, pooledConnection, new FutureCallback<>() {
+            @Override
+            public void completed(IOSession session) {
+                callback.completed(session);
+            }
+
+            @Override
+            public void failed(Exception cause) {
+                deadlineMonitor.remove(pooledConnection);
+                callback.failed(cause);
+            }
+
+            @Override
+            public void cancelled() {
+                deadlineMonitor.remove(pooledConnection);
+                callback.cancelled();
+            }
+        });
     }
 
     private void logIoError(Exception cause) {
@@ -351,10 +374,19 @@
         closing = true;
         closeListener();
         ioReactor.initiateShutdown();
-        ioReactor.awaitShutdown(TimeValue.ofMicroseconds(limits.closeTimeoutMicros()));
+        awaitShutdown();
+        deadlineMonitor.close();
         ioReactor.close(CloseMode.IMMEDIATE);
     }
 
+    /** Waits until all connections are closed, at most for the close timeout; the library's method follows the wall clock. */
+    private void awaitShutdown() throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + limits.closeTimeoutMicros() * 1000;
+        while (ioReactor.getStatus() != IOReactorStatus.SHUT_DOWN && System.nanoTime() < deadlineNanos) {
+            Thread.sleep(SHUTDOWN_POLL_MILLIS);
+        }
+    }
+
     private void closeListener() {
         try {
             if (clientListener != null) {
--- a/src/test/java/terndyke/node/http/ClientConnectionsTest.java
+++ b/src/test/java/terndyke/node/http/ClientConnectionsTest.java
@@ -18,7 +18,6 @@
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.nio.SessionInputBuffer;
 import org.apache.hc.core5.reactor.IOSession;
-import org.apache.hc.core5.util.Timeout;
 import org.junit.jupiter.api.Test;
 
 import terndyke.node.Counters;
@@ -28,19 +27,15 @@
 class ClientConnectionsTest {
     private final Limits limits = Limits.fromResources(128, 256, 3, 12, 40, 400_000, 1_000_000);
     private final Set<IOSession> closed = new HashSet<>();
-    private final Map<IOSession, Long> timeouts = new HashMap<>();
     private final Map<IOSession, Integer> eventMasks = new HashMap<>();
     private long now = 1_000_000;
-    private final ClientConnections clientConnections = new ClientConnections(limits, () -> now, new Counters());
+    private final DeadlineMonitor deadlineMonitor = new DeadlineMonitor(() -> now, limits.selectIntervalMicros());
+    private final ClientConnections clientConnections = new ClientConnections(limits, () -> now, deadlineMonitor, new Counters());
 
     private IOSession createSession() {
         return (IOSession) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {IOSession.class},
                 (proxy, method, arguments) -> switch (method.getName()) {
                     case "close" -> closed.add((IOSession) proxy) ? null : null;
-                    case "setSocketTimeout" -> {
-                        timeouts.put((IOSession) proxy, ((Timeout) arguments[0]).toMicroseconds());
-                        yield null;
-                    }
                     case "setEvent" -> eventMasks.merge((IOSession) proxy, (Integer) arguments[0], (mask, event) -> mask | event) == 0
                             ? null : null;
                     case "clearEvent" -> eventMasks.merge((IOSession) proxy, 0, (mask, event) -> mask & ~(Integer) arguments[0]) == 0
@@ -59,9 +54,26 @@
 
     @Test
     void aSilentClientIsDisconnectedWithinThreeSeconds() {
-        IOSession silent = createSession();
-        clientConnections.accept(silent);
-        assertTrue(timeouts.get(silent) >= 2_000_000 && timeouts.get(silent) < 2_800_000);
+        ClientConnections.ClientConnection silent = clientConnections.accept(createSession());
+        assertTrue(silent.deadline() - now >= 2_000_000 && silent.deadline() - now < 2_800_000);
+    }
+
+    /** Guards against a request that is closed unanswered because it arrives as the deadline of its connection passes. */
+    @Test
+    void theOwnerThreadClosesAnOverdueConnectionUnlessInputHasCome() {
+        IOSession session = createSession();
+        ClientConnections.ClientConnection connection = clientConnections.accept(session);
+        now = connection.deadline();
+        deadlineMonitor.checkDeadlines();
+        assertEquals(SelectionKey.OP_WRITE, eventMasks.get(session), "the owner thread is to look");
+        assertTrue(closed.isEmpty());
+        connection.onInput();
+        connection.onRequestComplete();
+        assertFalse(connection.closeIfOverdue());
+        connection.onResponseComplete();
+        now = connection.deadline();
+        assertTrue(connection.closeIfOverdue());
+        assertTrue(closed.contains(session));
     }
 
     @Test
@@ -69,10 +81,10 @@
         IOSession slow = createSession();
         ClientConnections.ClientConnection connection = clientConnections.accept(slow);
         connection.onInput();
-        long firstTimeout = timeouts.get(slow);
+        long firstDeadline = connection.deadline();
         now += 1_500_000;
         connection.onInput();
-        assertEquals(firstTimeout - 1_500_000, timeouts.get(slow), "another byte does not extend the deadline");
+        assertEquals(firstDeadline, connection.deadline(), "another byte does not extend the deadline");
         now += 600_000;
         connection.onInput();
         assertTrue(closed.contains(slow));
@@ -80,11 +92,10 @@
 
     @Test
     void aRequestBegunAfterASilenceEndsWithinThreeSecondsOfConnecting() {
-        IOSession late = createSession();
-        ClientConnections.ClientConnection connection = clientConnections.accept(late);
+        ClientConnections.ClientConnection connection = clientConnections.accept(createSession());
         now += 2_000_000;
         connection.onInput();
-        assertTrue(now + timeouts.get(late) < 1_000_000 + 3_000_000);
+        assertTrue(connection.deadline() < 1_000_000 + 3_000_000);
     }
 
     @Test
@@ -120,11 +131,10 @@
 
     @Test
     void aLateResponseIsStillAwaitedAndNoEarlierDeadlineAppliesToTheNextRequest() {
-        IOSession usual = createSession();
-        ClientConnections.ClientConnection connection = clientConnections.accept(usual);
+        ClientConnections.ClientConnection connection = clientConnections.accept(createSession());
         connection.onInput();
         connection.onRequestComplete();
-        assertEquals(Timeout.DISABLED.toMicroseconds(), timeouts.get(usual), "a complete request is answered, however late");
+        assertEquals(DeadlineMonitor.NONE, connection.deadline(), "a complete request is answered, however late");
         connection.onInput(); // the selector reported input, but there was none
         now += 2_500_000;
         connection.onResponseComplete();
@@ -178,7 +188,7 @@
         ClientConnections.ClientConnection connection = acceptWithWaitingRequest(session);
         eventMasks.put(session, SelectionKey.OP_READ);
         assertTrue(connection.suspendReading());
-        assertEquals(Timeout.DISABLED.toMicroseconds(), timeouts.get(session), "a complete request is answered, however late");
+        assertEquals(DeadlineMonitor.NONE, connection.deadline(), "a complete request is answered, however late");
         assertFalse(connection.resumeReading(), "no response yet");
         now += 20_000;
         connection.onResponseComplete();
@@ -226,14 +236,13 @@
 
     @Test
     void aResponseOfAnotherThreadIsCountedByTheOwnerThread() throws InterruptedException {
-        IOSession client = createSession();
-        ClientConnections.ClientConnection connection = clientConnections.accept(client);
+        ClientConnections.ClientConnection connection = clientConnections.accept(createSession());
         connection.onInput();
         connection.onRequestComplete();
-        long timeoutBefore = timeouts.get(client);
+        long deadlineBefore = connection.deadline();
         runOnOtherThread(connection::onResponseComplete);
-        assertEquals(timeoutBefore, timeouts.get(client), "the connection is not changed by another thread");
+        assertEquals(deadlineBefore, connection.deadline(), "the connection is not changed by another thread");
         clientConnections.accept(createSession());
-        assertEquals(limits.idleClientTimeoutMicros(), timeouts.get(client));
+        assertEquals(now + limits.idleClientTimeoutMicros(), connection.deadline());
     }
 }
