A start waits for a state folder that fails for a while

What callers saw: a node that was started while its folder failed (EIO, ENOSPC, no descriptor) ended with status 2, and what its previous run had taken on was lost. Cause: each error of the folder at the start ended the process, even where only a torn tail was to be cut off or an unfinished compaction to be deleted. Evidence: aStartWaitsForAStateFolderThatFailsForAWhile, red before; aStartWaitsForAStateFolderThatCannotBeRead, red before. Change: StartRetry repeats the opening for 20 s, except after errors that show a wrong configuration. Cutting off and deleting are no condition of a start: what stands there is overwritten or skipped. A failed cut in append no longer hides the error of the write.

--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -48,12 +48,12 @@
     /** Restores the unfinished records of the previous run from the journal, and serves clients from then on. */
     public void start() throws IOException {
         Limits limits = configuration.limits();
+        StartRetry startRetry = new StartRetry(log, limits.maxStartRetryMicros());
         List<JournalEntry> entries = new ArrayList<>();
-        try {
-            journal = Journal.open(configuration.stateDirectory(), limits.maxJournalBytes(), log, entries);
-        } catch (IOException e) {
-            throw new IOException("cannot open the journal in " + configuration.stateDirectory() + ": " + e.getMessage(), e);
-        }
+        journal = startRetry.run("cannot open the journal in " + configuration.stateDirectory(), () -> {
+            entries.clear();
+            return Journal.open(configuration.stateDirectory(), limits.maxJournalBytes(), log, entries);
+        });
         RecordStore recordStore = new RecordStore(journal, limits, counters, log);
         Collection<TrackedRecord> restoredRecords = recordStore.restore(entries);
         NodeClock clock = NodeClock.continueFrom(recordStore.clockReference(), recordStore.latestTime());
--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -24,7 +24,7 @@
         long maxRecordTimeoutMicros, long maxPollWaitMicros, long selectIntervalMicros, long sweepIntervalMicros,
         long endedRecordRetentionMicros,
         long goneEndpointRetentionMicros, int maxGoneEndpoints,
-        long startTimeoutMicros, long warmUpTimeoutMicros, long shutdownGracePeriodMicros, long minShutdownMicros,
+        long startTimeoutMicros, long maxStartRetryMicros, long warmUpTimeoutMicros, long shutdownGracePeriodMicros, long minShutdownMicros,
         long finalEventPollMicros, long closeTimeoutMicros,
         long slowTurnThresholdMicros, long slowTurnLogIntervalMicros, long noticeDeadlineMicros, long noticeTimeoutMicros,
         long noticeRetryDelayMicros, int maxNoticeCalls, long minNoticeRepeatMicros, int readyNoticeConnections,
@@ -66,7 +66,7 @@
                 2_000_000, 2_600_000, 3_000_000, 2_000_000, 2_100_000, 50_000, 8 << 20, 400_000, 350_000,
                 2_000_000, 700_000, 3, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
-                60_000_000, 1024, 10_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000,
+                60_000_000, 1024, 10_000_000, 20_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000,
                 100_000, 1_000_000, 300_000, 150_000, 25_000, 4, 50_000, 2, 1);
     }
 }
--- a/src/main/java/terndyke/node/journal/Journal.java
+++ b/src/main/java/terndyke/node/journal/Journal.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.RandomAccessFile;
 import java.nio.ByteBuffer;
+import java.nio.file.AccessDeniedException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -40,13 +41,30 @@
     /** Opens the journal in the folder and adds its entries to the given list. A torn tail is truncated. */
     public static Journal open(Path folder, long maxBytes, NodeLog log, List<JournalEntry> entries) throws IOException {
         Files.createDirectories(folder);
+        if (!Files.isWritable(folder)) {
+            throw new AccessDeniedException(folder.toString());
+        }
         Journal journal = new Journal(folder, maxBytes, log);
-        Files.deleteIfExists(journal.nextPath); // left by an unfinished compaction; the current file holds all entries
+        journal.deleteUnfinishedCompaction();
         journal.file = new RandomAccessFile(journal.currentPath.toFile(), "rw");
-        journal.readEntries(entries);
+        try {
+            journal.readEntries(entries);
+        } catch (IOException e) {
+            journal.file.close();
+            throw e;
+        }
         return journal;
     }
 
+    /** The current file holds all entries. If the other one cannot be deleted, the next compaction overwrites it. */
+    private void deleteUnfinishedCompaction() {
+        try {
+            Files.deleteIfExists(nextPath);
+        } catch (IOException e) {
+            log.warn("journal: " + nextPath.getFileName() + " cannot be deleted", e);
+        }
+    }
+
     private void readEntries(List<JournalEntry> entries) throws IOException {
         long length = file.length();
         byte[] bytes = new byte[(int) Math.min(length, Integer.MAX_VALUE - 8)];
@@ -70,7 +88,7 @@
         }
         if (size < length) {
             log.warn("journal: torn tail of " + (length - size) + " bytes truncated after " + entries.size() + " entries");
-            file.setLength(size);
+            truncate();
         }
         file.seek(size);
     }
@@ -123,12 +141,21 @@
         try {
             file.write(frame);
         } catch (IOException e) {
-            file.setLength(size);
+            truncate();
             throw e;
         }
         size += frame.length;
     }
 
+    /** Cuts off what stands behind the last whole entry. If that fails, the entries to come overwrite it, and a start skips the rest. */
+    private void truncate() {
+        try {
+            file.setLength(size);
+        } catch (IOException e) {
+            // nothing that is needed stands there
+        }
+    }
+
     /** The size of the entry in the file, with length and checksum. */
     public static int encodedSize(JournalEntry entry) {
         return encodeFrame(entry).length;
--- a/src/test/java/terndyke/FaultyStartProcessTest.java
+++ b/src/test/java/terndyke/FaultyStartProcessTest.java
@@ -101,4 +101,18 @@
         assertNothingLostWhereTheStartMeets(SystemError.EIO, Operation.FILE_OPEN, Operation.FILE_READ, Operation.FILE_WRITE,
                 Operation.FILE_TRUNCATE, Operation.FILE_RENAME);
     }
+
+    /** Guards against the same where the folder can be opened and not read. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aStartWaitsForAStateFolderThatCannotBeRead() throws Exception {
+        assertNothingLostWhereTheStartMeets(SystemError.EIO, Operation.FILE_READ);
+    }
+
+    /** Guards against a start that needs to write where the disk is full. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aStartWithAFullDiskTakesUpWhatIsOwed() throws Exception {
+        assertNothingLostWhereTheStartMeets(SystemError.ENOSPC, Operation.FILE_WRITE, Operation.FILE_TRUNCATE);
+    }
 }
