--- a/src/test/java/terndyke/FaultyStartProcessTest.java
+++ b/src/test/java/terndyke/FaultyStartProcessTest.java
@@ -109,6 +109,13 @@
         assertNothingLostWhereTheStartMeets(SystemError.EIO, Operation.FILE_READ);
     }
 
+    /** Guards against a node that ends because the system has no socket at its start. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aStartWaitsForSocketsWhereTheSystemHasNoneForAWhile() throws Exception {
+        assertNothingLostWhereTheStartMeets(SystemError.ENFILE, Operation.SOCKET);
+    }
+
     /** Guards against a start that needs to write where the disk is full. */
     @Test
     @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
