A start waits for sockets where the system has none for a while

What callors saw: a node that was started while the system had no socket ended with status 2, and what its previous run had taken on was lost. Cause: one failed attempt to listen, or to open a selector, ended the process. Evidence: aStartWaitsForSocketsWhereTheSystemHasNoneForAWhile, red before. Change: both are steps of StartRetry; an address that is taken or not this machine's still ends the start at once.

--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -73,7 +73,7 @@
             log.warn("known list: cannot be read, ignored: " + e.getMessage());
         }
         rejectedEntries.forEach(text -> log.warn("known list: " + text));
-        reactor = new Reactor(limits, counters, log, fatalErrorHandler);
+        reactor = startRetry.run("cannot start the I/O threads", () -> Reactor.open(limits, counters, log, fatalErrorHandler));
         reactor.start();
         decisionLoop = new DecisionLoop(configuration, reactor, endpointRegistry, recordStore, clock, counters, log);
         if (reloadedDiscoveryAddress != null) {
@@ -87,7 +87,10 @@
         requestHandler = new ClientRequestHandler(limits, counters, configuration.gradeNames(), configuration.tenantNames(),
                 clock::now, () -> ready && !shuttingDown, decisionLoop::offerRequest,
                 request -> decisionLoop.post(new LoopEvent.ClientDisconnected(request)));
-        reactor.listen(configuration.listenAddress(), requestHandler);
+        startRetry.run("cannot listen on " + configuration.listenAddress(), () -> {
+            reactor.listen(configuration.listenAddress(), requestHandler);
+            return null;
+        });
         // only now: discovery is asked and the records of the previous run, whose time goes on, are sent meanwhile
         WarmUp.warmUpDispatcher(configuration, limits.warmUpTimeoutMicros());
         WarmUp.warmUpHttp(configuration, reactor, clock, log, configuration.listenAddress(), limits.warmUpTimeoutMicros());
--- a/src/main/java/terndyke/node/StartRetry.java
+++ b/src/main/java/terndyke/node/StartRetry.java
@@ -1,6 +1,7 @@
 package terndyke.node;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.nio.file.AccessDeniedException;
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.NoSuchFileException;
@@ -50,7 +51,7 @@
 
     /** True if the error shows that the configuration names something unusable. */
     private static boolean isPermanent(IOException error) {
-        return error instanceof AccessDeniedException || error instanceof FileAlreadyExistsException
+        return error instanceof BindException || error instanceof AccessDeniedException || error instanceof FileAlreadyExistsException
                 || error instanceof NoSuchFileException || error instanceof NotDirectoryException;
     }
 
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -68,6 +68,15 @@
     private volatile ClientRequestHandler requestHandler;
     private volatile boolean closing;
 
+    /** Creates a reactor; fails if the system has no descriptor for its selector. */
+    public static Reactor open(Limits limits, Counters counters, NodeLog log, FatalErrorHandler fatalErrorHandler) throws IOException {
+        try {
+            return new Reactor(limits, counters, log, fatalErrorHandler);
+        } catch (IllegalStateException e) { // as the library reports it
+            throw new IOException("no selector: " + e.getMessage(), e);
+        }
+    }
+
     /** Creates a reactor; the handler is told if one of its threads ends before {@link #close}. */
     public Reactor(Limits limits, Counters counters, NodeLog log, FatalErrorHandler fatalErrorHandler) {
         this.fatalErrorHandler = fatalErrorHandler;
@@ -320,12 +329,8 @@
     /** Starts to accept clients on an address. */
     public void listen(InetSocketAddress address, ClientRequestHandler handler) throws IOException {
         requestHandler = handler;
-        try {
-            clientListener = ClientListener.open(address, connectionPermits, channel -> AcceptedChannels.enqueue(ioReactor, channel),
-                    limits, counters, log);
-        } catch (IOException e) {
-            throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
-        }
+        clientListener = ClientListener.open(address, connectionPermits, channel -> AcceptedChannels.enqueue(ioReactor, channel), limits,
+                counters, log);
         createDaemonThread(clientListener, "terndyke-accept").start();
     }
 
