--- a/src/test/java/terndyke/SystemCallFaultProcessTest.java
+++ b/src/test/java/terndyke/SystemCallFaultProcessTest.java
@@ -30,6 +30,7 @@
     private static final int DESTINATIONS = 3;
     private static final int CLIENTS = 6;
     private static final int EACH_CALL = 1_000; // per mille
+    private static final int SOME_CALLS = 300;
     private static final int FAULT_BEGIN_MILLIS = 500;
     private static final int FAULT_MILLIS = 600;
     private static final int RECOVERY_MILLIS = 700; // after the faults, until clients are to be served
@@ -113,4 +114,13 @@
         assertServedWhileFailing(Operation.ACCEPT, EACH_CALL, SystemError.ENFILE, SystemError.EMFILE, SystemError.ENOBUFS,
                 SystemError.ENOMEM, SystemError.ECONNABORTED, SystemError.EINTR);
     }
+
+    /** Guards against requests without an answer where the system has no buffer at the moment at which the answer is written. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void everyRequestIsAnsweredWhileWritesFailNowAndThen() throws Exception {
+        assertServedWhileFailing(Operation.SOCKET_WRITE, SOME_CALLS, SystemError.ENOBUFS, SystemError.ENOMEM, SystemError.SHORT_COUNT,
+                SystemError.EINTR);
+        assertEquals(0, outcomes.get(Outcome.SLOW).get(), "requests without an answer within 400 ms");
+    }
 }
