A write to a socket that fails is tried again for a while

What callors saw: requests that were taken on or refused and never answered, their connections left open, where the write of the answer ended with ENOBUFS or ENOMEM. Cause: the library gives the answer up at the first IOException of a write. Change: GuardedSession (ReadLimitedSession until now) reports such a write as one of no bytes, for 2 s at most, so that the library writes again; a broken connection is noticed by its input before that. Calls to endpoints and notices go through the same class.

--- a/src/main/java/terndyke/node/http/ReadLimitedSession.java
+++ b/src/main/java/terndyke/node/http/GuardedSession.java
@@ -4,7 +4,10 @@
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.ByteChannel;
+import java.nio.channels.SelectionKey;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Lock;
+import java.util.concurrent.locks.LockSupport;
 
 import javax.net.ssl.SSLContext;
 
@@ -21,15 +24,20 @@
 import org.apache.hc.core5.util.Timeout;
 
 /**
- * Session that limits how much is read in one pass, that is, for one event of the selector. Before it looks for the head of a
- * message, the library reads all that the system has received, into a buffer that grows without a bound. What is left stays
- * in the system and is reported again. All other methods are those of the session behind it.
+ * Session that limits how much is read in one pass, that is, for one event of the selector, and that goes on where the system refuses to take
+ * bytes for lack of memory. Before it looks for the head of a message, the library reads all that the system has received, into a buffer that
+ * grows without a bound. What is left stays in the system and is reported again. All other methods are those of the session behind it.
  */
-final class ReadLimitedSession implements ProtocolIOSession {
+final class GuardedSession implements ProtocolIOSession {
+    private static final long WRITE_RETRY_NANOS = TimeUnit.SECONDS.toNanos(2); // a connection that is broken ends by its input before
+    private static final long WRITE_RETRY_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
     private final ProtocolIOSession session;
     private int readableBytes;
+    private long failingSinceNanos; // when the first of the writes failed that have failed in a row
+    private int failuresInARow;
 
-    ReadLimitedSession(ProtocolIOSession session) {
+    GuardedSession(ProtocolIOSession session) {
         this.session = session;
     }
 
@@ -56,7 +64,30 @@
 
     @Override
     public int write(ByteBuffer source) throws IOException {
-        return session.write(source);
+        try {
+            int written = session.write(source);
+            failuresInARow = 0;
+            return written;
+        } catch (IOException e) {
+            pauseOrGiveUp(e);
+            return 0;
+        }
+    }
+
+    /**
+     * Lets the library try again as if the socket's buffer were full: a write may fail with ENOBUFS or ENOMEM on a sound connection. Java
+     * does not tell these from other errors.
+     */
+    private void pauseOrGiveUp(IOException cause) throws IOException {
+        long now = System.nanoTime();
+        failingSinceNanos = failuresInARow == 0 ? now : failingSinceNanos;
+        if (!session.isOpen() || now - failingSinceNanos > WRITE_RETRY_NANOS) {
+            throw cause;
+        }
+        if (failuresInARow++ > 0) {
+            LockSupport.parkNanos(WRITE_RETRY_PAUSE_NANOS); // the selector reports the socket as writable at once
+        }
+        session.setEvent(SelectionKey.OP_WRITE);
     }
 
     @Override
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -126,9 +126,9 @@
 
     private IOEventHandler createEventHandler(ProtocolIOSession session, Object attachment) {
         if (attachment instanceof ConnectionPool.PooledConnection pooledConnection) {
-            ReadLimitedSession limitedSession = new ReadLimitedSession(session);
-            ClientHttp1IOEventHandler handler = new OutboundEventHandler(pooledConnection, limitedSession,
-                    new OutboundStreamDuplexer(limitedSession, pooledConnection));
+            GuardedSession guardedSession = new GuardedSession(session);
+            ClientHttp1IOEventHandler handler = new OutboundEventHandler(pooledConnection, guardedSession,
+                    new OutboundStreamDuplexer(guardedSession, pooledConnection));
             pooledConnection.onConnected(session, handler);
             return handler;
         }
@@ -181,13 +181,13 @@
     /** I/O events of an outbound connection. */
     private final class OutboundEventHandler extends ClientHttp1IOEventHandler {
         private final ConnectionPool.PooledConnection pooledConnection;
-        private final ReadLimitedSession limitedSession;
+        private final GuardedSession guardedSession;
 
-        OutboundEventHandler(ConnectionPool.PooledConnection pooledConnection, ReadLimitedSession limitedSession,
+        OutboundEventHandler(ConnectionPool.PooledConnection pooledConnection, GuardedSession guardedSession,
                 ClientHttp1StreamDuplexer duplexer) {
             super(duplexer);
             this.pooledConnection = pooledConnection;
-            this.limitedSession = limitedSession;
+            this.guardedSession = guardedSession;
         }
 
         @Override
@@ -200,7 +200,7 @@
         @Override
         public void inputReady(IOSession session, ByteBuffer source) throws IOException {
             if (pooledConnection.beginInput()) {
-                limitedSession.beginPass(maxUnparsedBytes() - pooledConnection.unparsedBytes());
+                guardedSession.beginPass(maxUnparsedBytes() - pooledConnection.unparsedBytes());
                 try {
                     super.inputReady(session, source);
                 } finally {
@@ -220,13 +220,13 @@
     /** I/O events of a client's connection. */
     private final class InboundEventHandler extends ServerHttp1IOEventHandler {
         private final ClientConnections.ClientConnection clientConnection;
-        private final ReadLimitedSession limitedSession;
+        private final GuardedSession guardedSession;
 
-        InboundEventHandler(ClientConnections.ClientConnection clientConnection, ReadLimitedSession limitedSession,
+        InboundEventHandler(ClientConnections.ClientConnection clientConnection, GuardedSession guardedSession,
                 ServerHttp1StreamDuplexer duplexer) {
             super(duplexer);
             this.clientConnection = clientConnection;
-            this.limitedSession = limitedSession;
+            this.guardedSession = guardedSession;
         }
 
         @Override
@@ -238,7 +238,7 @@
             if (session.isOpen() && clientConnection.isDiscarding()) {
                 clientConnection.discardInput();
             } else if (session.isOpen()) {
-                limitedSession.beginPass(maxUnparsedBytes() - clientConnection.unparsedBytes());
+                guardedSession.beginPass(maxUnparsedBytes() - clientConnection.unparsedBytes());
                 super.inputReady(session, source);
                 clientConnection.onInputProcessed();
             }
@@ -289,8 +289,8 @@
                 clientConnection.onResponseComplete();
             }
         };
-        ReadLimitedSession limitedSession = new ReadLimitedSession(session);
-        return new InboundEventHandler(clientConnection, limitedSession, new InboundStreamDuplexer(limitedSession, clientConnection,
+        GuardedSession guardedSession = new GuardedSession(session);
+        return new InboundEventHandler(clientConnection, guardedSession, new InboundStreamDuplexer(guardedSession, clientConnection,
                 (request, context) -> requestHandler.createExchange(clientConnection, clientConnections.isOverCapacity()),
                 streamListener));
     }
