A step of a turn that fails loses nothing of the steps behind it

What callers would see: messages that never end, or a process that exits with 70, where one action, event or answer of the decision thread throws: an answer to a connection that is just being closed (CancelledKeyException), memory that is short. Evidence: DecisionLoopTest, two tests red before, 1 run each: 1 of 5 messages ended; 0 of 5, the thread dead. Not met on a process; the cause is injected. Change: each event, action and answer is guarded alone. An end that fails is repeated, a shot that fails counts as one that may have run, and after a lost event records past their time are ended without a decision. Writers of answers treat a cancelled key as a closed connection. Measured: DecisionLoopTest 3 of 3, StageTest 23 of 23, NoticeFaultProcessTest 3 of 3.

--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -37,7 +37,7 @@
         /** Calls to the platform on a connection that had carried another call, as no connection could be opened. */
         PLATFORM_CONNECTIONS_REUSED,
         /** Turns of the decision thread that ended by an exception. */
-        TURNS_FAILED,
+        TURNS_FAILED, EVENTS_FAILED, ACTIONS_FAILED,
         /** Steps of the wall clock against the node's own clock. */
         WALL_CLOCK_STEPS,
         /** Pauses in reading from a client that has sent a request before it got the response to the one before. */
--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -26,7 +26,7 @@
         long goneEndpointRetentionMicros, int maxGoneEndpoints,
         long startTimeoutMicros, long maxStartRetryMicros, long warmUpTimeoutMicros, long shutdownGracePeriodMicros, long minShutdownMicros,
         long finalEventPollMicros, long closeTimeoutMicros,
-        long slowTurnThresholdMicros, long slowTurnLogIntervalMicros, long noticeDeadlineMicros, long noticeTimeoutMicros,
+        long failedActionDelayMicros, long overdueRecordMicros, long slowTurnThresholdMicros, long slowTurnLogIntervalMicros, long noticeDeadlineMicros, long noticeTimeoutMicros,
         long noticeRetryDelayMicros, int maxNoticeCalls, long minNoticeRepeatMicros, int readyNoticeConnections,
             int readyWatchConnections) {
 
@@ -67,6 +67,6 @@
                 2_000_000, 700_000, 3, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
                 60_000_000, 1024, 10_000_000, 20_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000,
-                100_000, 1_000_000, 300_000, 150_000, 25_000, 4, 50_000, 2, 1);
+                20_000, 50_000, 100_000, 1_000_000, 300_000, 150_000, 25_000, 4, 50_000, 2, 1);
     }
 }
--- a/src/main/java/terndyke/node/http/ClientConnections.java
+++ b/src/main/java/terndyke/node/http/ClientConnections.java
@@ -276,7 +276,7 @@
                 write.run();
             } else {
                 pendingResponses.add(write);
-                session.setEvent(SelectionKey.OP_WRITE);
+                requestOutputEvent();
             }
         }
 
@@ -362,7 +362,7 @@
         void onResponseSubmitted() {
             if (readingSuspended && Thread.currentThread() != ownerThread) {
                 responseSubmitted = true;
-                session.setEvent(SelectionKey.OP_WRITE);
+                requestOutputEvent();
             }
         }
 
@@ -380,7 +380,7 @@
             } else {
                 uncountedResponses.add(this);
                 if (readingSuspended) {
-                    session.setEvent(SelectionKey.OP_WRITE); // wakes up the owner thread, which resumes reading
+                    requestOutputEvent(); // wakes up the owner thread, which resumes reading
                 }
             }
         }
--- a/src/main/java/terndyke/node/http/ClientRequestHandler.java
+++ b/src/main/java/terndyke/node/http/ClientRequestHandler.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
@@ -327,8 +328,8 @@
             try {
                 responseChannel.sendResponse(response, responseBody == null ? null
                         : new BasicEntityDetails(responseBody.remaining(), null), context);
-            } catch (HttpException | IOException e) {
-                failed(e);
+            } catch (HttpException | IOException | CancelledKeyException e) {
+                failed(e); // the connection is closed, or just being closed
             }
             clientConnection.onResponseSubmitted();
         }
--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -64,7 +64,8 @@
     private final int gradeCount;
     private long nextSweepAt;
     private long shutdownDeadline = Long.MAX_VALUE;
-    private int unperformedActions; // of the present run of the decision module
+    private boolean eventsLost; // by a turn that failed: records whose end the decision module does not know of may be overdue
+    private long nextOverdueCheckAt;
     private long eventsHandledUntil; // what was received by this time has been handled before the current decisions
     private final CountDownLatch discoveryResolved = new CountDownLatch(1); // the first call to discovery has completed or failed
     private final CountDownLatch firstTurnDone = new CountDownLatch(1); // the decision module has run once after that
@@ -192,9 +193,9 @@
                 return;
             } catch (Exception | OutOfMemoryError e) {
                 counters.add(Counter.TURNS_FAILED);
-                log.warn("decision thread: turn failed, " + unperformedActions + " actions lost, its new records are refused", e);
-                unperformedActions = 0;
+                eventsLost = true;
                 refuseNewRecords();
+                log.warn("decision thread: turn failed, its new records are refused", e);
             }
         }
         refuseRemaining();
@@ -247,7 +248,7 @@
         slowTurnDetector.beginTurn(now);
         int eventCount = 0;
         while (event != null) {
-            handleEvent(event, now);
+            handleEventOrDrop(event, now);
             event = eventCount++ < limits.maxEventsPerTurn() ? eventQueue.poll() : null;
         }
         slowTurnDetector.endEventPhase(eventCount, now());
@@ -264,6 +265,10 @@
         } else {
             notificationStage.sendPendingNotices(now);
         }
+        if (eventsLost && now >= nextOverdueCheckAt) {
+            nextOverdueCheckAt = now + limits.maxPollWaitMicros();
+            endOverdueRecords(now);
+        }
         if (now >= nextSweepAt) {
             nextSweepAt = now + limits.sweepIntervalMicros();
             logWallClockStep();
@@ -292,6 +297,28 @@
         }
     }
 
+    /** Records that the decision module has lost in a failed turn get their final answer all the same. */
+    private void endOverdueRecords(long now) {
+        for (TrackedRecord record : recordStore.openRecordsOverdueSince(now - limits.overdueRecordMicros())) {
+            log.warn("message " + record.entry.id() + " is overdue and ended without a decision");
+            notificationStage.endRecord(record, JournalEntry.RecordOutcome.TERMINATED, 0);
+        }
+    }
+
+    /** Handles an event. One that fails is dropped, so that those behind it are still handled; its client, if any, is refused. */
+    private void handleEventOrDrop(LoopEvent event, long now) {
+        try {
+            handleEvent(event, now);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            counters.add(Counter.EVENTS_FAILED);
+            eventsLost = true;
+            if (event instanceof LoopEvent.RequestReceived requestReceived) {
+                NotificationStage.answer(requestReceived.clientRequest().responder(), responder -> responder.refused(0));
+            }
+            log.warn("decision thread: " + event.getClass().getSimpleName() + " dropped", e);
+        }
+    }
+
     private void handleEvent(LoopEvent event, long now) {
         if (event instanceof LoopEvent.RequestReceived requestReceived) {
             queuedRequestCount.decrementAndGet();
@@ -402,12 +429,8 @@
             long now = now();
             List<Action> actions = decisionStage.runTurn(now);
             slowTurnDetector.endPhase(Phase.MODULE, now());
-            unperformedActions = actions.size();
             answerNewRecords(actions);
-            for (Action action : actions) {
-                performAction(action, now);
-                unperformedActions--;
-            }
+            actions.forEach(action -> performActionOrRecover(action, now));
             slowTurnDetector.endPhase(Phase.ACTIONS, now());
         }
         notificationStage.sendPendingNotices(now());
@@ -422,15 +445,16 @@
                 notificationStage.answerFailed(newRecords.remove(terminate.id()));
             }
         }
-        for (TrackedRecord record : newRecords.values()) {
-            if (recordStore.tryAdd(record)) {
+        for (TrackedRecord record : List.copyOf(newRecords.values())) {
+            boolean journalled = recordStore.tryAdd(record);
+            newRecords.remove(record.entry.number());
+            if (journalled) {
                 notificationStage.answerAccepted(record);
             } else {
                 notificationStage.answerRefused(record, 0);
                 decisionStage.addEvent(new Event.RecordWithdrawn(record.entry.number()));
             }
         }
-        newRecords.clear();
         recordStore.clearReservations();
     }
 
@@ -454,6 +478,19 @@
         }
     }
 
+    /** Performs an action. If that fails, the others are still performed, and a record that was to end is ended in a later turn. */
+    private void performActionOrRecover(Action action, long now) {
+        try {
+            performAction(action, now);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            counters.add(Counter.ACTIONS_FAILED);
+            if (action instanceof Action.Bounce || action instanceof Action.Terminate) {
+                timers.schedule(now + limits.failedActionDelayMicros(), () -> performActionOrRecover(action, now()));
+            }
+            log.warn("decision thread: " + action.getClass().getSimpleName() + " failed", e);
+        }
+    }
+
     private void performAction(Action action, long now) {
         if (action instanceof Action.SendShot sendShot) {
             sendStage.sendShot(recordStore.findByNumber(sendShot.id()), sendShot, now);
--- a/src/main/java/terndyke/node/stage/NoticeSender.java
+++ b/src/main/java/terndyke/node/stage/NoticeSender.java
@@ -57,8 +57,9 @@
         answerTimeMicros = 2 * limits.minNoticeRepeatMicros() / ANSWER_TIME_FACTOR;
     }
 
+    /** Adds the notice of a record that has ended, unless it is there already. */
     void add(TrackedRecord record) {
-        dueTimes.put(record, 0L);
+        dueTimes.putIfAbsent(record, 0L);
     }
 
     boolean isEmpty() {
--- a/src/main/java/terndyke/node/stage/NotificationStage.java
+++ b/src/main/java/terndyke/node/stage/NotificationStage.java
@@ -1,6 +1,7 @@
 package terndyke.node.stage;
 
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import terndyke.api.Ending;
@@ -39,24 +40,33 @@
     void answerAccepted(TrackedRecord record) {
         counters.add(Counter.TAKEN);
         trace("taken", record);
-        removeResponder(record).taken();
+        answer(removeResponder(record), ClientRequest.Responder::taken);
     }
 
     /** Tells the client that its record is refused, and after which time in microseconds it may try again (0: not stated). */
     void answerRefused(TrackedRecord record, long retryAfterMicros) {
         counters.add(Counter.BOUNCED_AT_ONCE);
         trace("refused", record);
-        removeResponder(record).refused(retryAfterMicros);
+        answer(removeResponder(record), responder -> responder.refused(retryAfterMicros));
         decisionStage.addEvent(new Event.FinalAnswerDelivered(record.entry.number()));
     }
 
     /** Tells the client that its record was terminated in the turn in which it was admitted. */
     void answerFailed(TrackedRecord record) {
         trace("failed", record);
-        removeResponder(record).failed(500);
+        answer(removeResponder(record), responder -> responder.failed(500));
         decisionStage.addEvent(new Event.FinalAnswerDelivered(record.entry.number()));
     }
 
+    /** Answers a client. One that cannot be answered, since its connection is just being closed, say, hinders no other. */
+    static void answer(ClientRequest.Responder responder, Consumer<ClientRequest.Responder> answer) {
+        try {
+            answer.accept(responder);
+        } catch (IllegalStateException e) {
+            responder.withdrawn();
+        }
+    }
+
     private static ClientRequest.Responder removeResponder(TrackedRecord record) {
         ClientRequest.Responder responder = record.responder;
         record.responder = null;
@@ -70,7 +80,9 @@
     void endRecord(TrackedRecord record, JournalEntry.RecordOutcome outcome, long retryAfterMicros) {
         if (record.noticeSettled) {
             decisionStage.addEvent(new Event.FinalAnswerDelivered(record.entry.number()));
-        } else if (record.outcome == null) {
+        } else if (record.outcome != null) {
+            noticeSender.add(record);
+        } else {
             recordStore.endRecord(record, outcome, retryAfterMicros);
             counters.add(outcome == JournalEntry.RecordOutcome.BOUNCED ? Counter.ENDED_BOUNCED : Counter.ENDED_TERMINATED);
             record.endedAt = decisionLoop.now();
--- a/src/main/java/terndyke/node/stage/RecordStore.java
+++ b/src/main/java/terndyke/node/stage/RecordStore.java
@@ -131,6 +131,11 @@
         return recordsByNumber.get(number);
     }
 
+    /** The records that have not ended although their abandon time was before the given time. */
+    List<TrackedRecord> openRecordsOverdueSince(long time) {
+        return recordsByNumber.values().stream().filter(record -> record.isOpen() && record.entry.abandonAt() < time).toList();
+    }
+
     /** Number of records held, including those admitted in this turn. */
     int heldOrAdmittedCount() {
         return heldCount + admittedCount;
--- a/src/main/java/terndyke/node/stage/SendStage.java
+++ b/src/main/java/terndyke/node/stage/SendStage.java
@@ -84,9 +84,14 @@
         }
         counters.add(Counter.SHOTS);
         long openedBefore = log.isTracing() ? counters.get(Counter.CONNECTIONS_OPENED) : 0;
-        shot.connection = connectionPool.startCall(endpoint.peer(),
-                buildCall(record, endpoint.peer(), deadline - now, action.startBy()), now, decisionLoop.eventsHandledUntil(),
-                new ShotListener(record, shot, endpointNumber));
+        try {
+            shot.connection = connectionPool.startCall(endpoint.peer(),
+                    buildCall(record, endpoint.peer(), deadline - now, action.startBy()), now, decisionLoop.eventsHandledUntil(),
+                    new ShotListener(record, shot, endpointNumber));
+        } catch (RuntimeException e) {
+            complete(record, shot, endpointNumber, Ending.RESET, now, 0, false, NO_REPORT); // it may have been started
+            throw e;
+        }
         if (shot.connection == null) {
             complete(record, shot, endpointNumber, Ending.NOT_SENT, now, 0, true, NO_REPORT);
         } else {
