--- a/src/test/java/terndyke/FinalAnswerRecorder.java
+++ b/src/test/java/terndyke/FinalAnswerRecorder.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import terndyke.CallRecorder.Message;
 import terndyke.RawServer.Request;
@@ -23,7 +24,8 @@
     private final Map<String, Long> firstNotices = new ConcurrentHashMap<>();
     private final Map<String, Long> firstDeliveries = new ConcurrentHashMap<>();
     private final Map<String, Integer> calls = new ConcurrentHashMap<>();
-    private volatile long readyAgainNanos = Long.MIN_VALUE;
+    private final List<Restart> restarts = new CopyOnWriteArrayList<>();
+    private volatile long downNanos = Long.MIN_VALUE;
 
     private record Submission(long handedInNanos, long timeoutMillis) {
         private long endNanos() {
@@ -43,8 +45,14 @@
 
     /** Hands a message in through a client; notes it if it is taken on, and returns what the client sees. */
     PersistentClient.Outcome submit(PersistentClient client, int port, String grade, String id, int destination, long timeoutMillis) {
+        return submit(client, port, grade, id, "", destination, timeoutMillis);
+    }
+
+    /** The same for a message with a key, which may be empty. */
+    PersistentClient.Outcome submit(PersistentClient client, int port, String grade, String id, String key, int destination,
+            long timeoutMillis) {
         long handedInNanos = System.nanoTime();
-        PersistentClient.Outcome outcome = client.submit(port, TestNodeProcess.requestText(grade, id, destination, timeoutMillis));
+        PersistentClient.Outcome outcome = client.submit(port, TestNodeProcess.requestText(grade, id, key, destination, timeoutMillis));
         if (outcome == PersistentClient.Outcome.TAKEN) {
             submissions.put(id, new Submission(handedInNanos, timeoutMillis));
         }
@@ -59,9 +67,25 @@
         return taken;
     }
 
+    /** A restart: no notice is overdue from the signal until some time after the node is ready again. */
+    private record Restart(long downNanos, long readyNanos) {
+        private boolean covers(long nanos) {
+            return nanos >= downNanos && nanos < graceEndNanos();
+        }
+
+        private long graceEndNanos() {
+            return readyNanos + RESTART_GRACE_MILLIS * NANOS_PER_MILLI;
+        }
+    }
+
+    /** The node is about to get a signal that ends it. */
+    void noteDown() {
+        downNanos = System.nanoTime();
+    }
+
     /** The node serves again after a restart. */
     void noteReadyAgain() {
-        readyAgainNanos = System.nanoTime();
+        restarts.add(new Restart(downNanos, System.nanoTime()));
     }
 
     /** A call of the message has reached an endpoint. */
@@ -97,6 +121,11 @@
         return calls.getOrDefault(id, 0);
     }
 
+    /** True if the message has been delivered, or ended by a notice. */
+    boolean isOver(String id) {
+        return firstDeliveries.containsKey(id) || firstNotices.containsKey(id);
+    }
+
     boolean isDelivered(String id) {
         return firstDeliveries.containsKey(id);
     }
@@ -123,8 +152,11 @@
     }
 
     private long dueNanos(Submission submission) {
-        long afterRestart = readyAgainNanos == Long.MIN_VALUE ? Long.MIN_VALUE : readyAgainNanos + RESTART_GRACE_MILLIS * NANOS_PER_MILLI;
-        return Math.max(submission.endNanos() + NOTICE_GRACE_MILLIS * NANOS_PER_MILLI, afterRestart);
+        long dueNanos = submission.endNanos() + NOTICE_GRACE_MILLIS * NANOS_PER_MILLI;
+        for (Restart restart : restarts) {
+            dueNanos = restart.covers(dueNanos) ? restart.graceEndNanos() : dueNanos;
+        }
+        return dueNanos;
     }
 
     /** The messages that are lost, each with how late its notice came. */
--- a/src/test/java/terndyke/NoticeFaultProcessTest.java
+++ b/src/test/java/terndyke/NoticeFaultProcessTest.java
@@ -29,6 +29,9 @@
     private static final long PAUSE_MILLIS = 500;
     private static final int FAULT_PERIODS = 6;
     private static final double UNANSWERED_SHARE = 0.4;
+    private static final int MANY_MESSAGES = 800;
+    private static final int MANY_TIMEOUTS_MILLIS = 3_000;
+    private static final int HALF_OF_THE_CALLS = 500; // per mille
 
     private final FinalAnswerRecorder answers = new FinalAnswerRecorder();
     private final Random random = new Random(1);
@@ -38,10 +41,14 @@
     Path folder;
 
     private TestNodeProcess start(RawServer platform) throws Exception {
-        shim = SystemFaultShim.build(folder, folder.resolve("state"));
+        buildShim();
         return TestNodeProcess.startServing(folder, shim.shellPrefix(), platform.address());
     }
 
+    private void buildShim() throws Exception {
+        shim = SystemFaultShim.build(folder, folder.resolve("state"));
+    }
+
     /** Messages whose times end at many moments between the shortest and the longest timeout, half of them in order. */
     private void submitMessages(TestNodeProcess node) throws Exception {
         for (int round = 0; round < ROUNDS; round++) {
@@ -113,4 +120,23 @@
             assertTrue(node.counter("notices_unanswered") > 0, "no fault was met");
         }
     }
+
+    /** Guards against late notices where many end at once, some calls are unanswered and every second connection fails. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void noNoticeIsLateWhileManyEndAndCallsAndConnectionsFail() throws Exception {
+        buildShim();
+        try (RawServer endpoint = new RawServer(call -> Response.NO_RESPONSE);
+                RawServer platform = new RawServer(request -> answerSomeNotices(request, endpoint));
+                TestNodeProcess node = TestNodeProcess.startServingWithManyMessages(folder, shim.shellPrefix(), platform.address())) {
+            shim.fail(Operation.CONNECT, SystemError.EADDRNOTAVAIL, HALF_OF_THE_CALLS);
+            for (int i = 0; i < MANY_MESSAGES; i++) {
+                answers.submit(node, "payment", "many" + i, i % DESTINATIONS, SHORTEST_TIMEOUT_MILLIS + random.nextInt(MANY_TIMEOUTS_MILLIS));
+            }
+            answers.awaitEnds();
+            assertTrue(answers.takenCount() > MANY_MESSAGES / 2, "only " + answers.takenCount() + " were taken on");
+            assertEquals(List.of(), answers.lost());
+            assertTrue(node.counter("connects_failed_locally") > 0, "no fault was met");
+        }
+    }
 }
--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -27,6 +27,7 @@
 final class TestNodeProcess implements AutoCloseable {
     private static final Pattern RUN_COMMAND_PATTERN = Pattern.compile("(?s)\\nrun = \"\"\"(.*?)\"\"\"");
     private static final int TIMEOUT_MILLIS = 10_000;
+    private static final int TERMINATION_MILLIS = 3_700;
     private static final int LOG_TIMEOUT_MILLIS = 60_000;
     private static final String END_OF_LOG = "\n"; // no line holds one
     private static final int SMALL_DESCRIPTORS = 256;
@@ -138,6 +139,13 @@
         return awaitServing(start(folder, shellPrefix, writeConfiguration(folder, listen, discovery, FULL_DESCRIPTORS, settings), listen));
     }
 
+    /** Starts a small node that may hold 1,000 messages, from a shell that runs the given commands first. */
+    static TestNodeProcess startServingWithManyMessages(Path folder, String shellPrefix, String discovery) throws IOException {
+        String listen = freeAddress();
+        return awaitServing(start(folder, shellPrefix, writeConfiguration(folder, listen, discovery, SMALL_DESCRIPTORS,
+                SETTINGS.replace("\"maxOpen\":40", "\"maxOpen\":1000")), listen));
+    }
+
     private static TestNodeProcess awaitServing(TestNodeProcess node) throws IOException {
         node.awaitLog("serving on");
         return node;
@@ -147,6 +155,10 @@
         return port;
     }
 
+    String address() {
+        return "127.0.0.1:" + port;
+    }
+
     /** Reads the log up to a line that contains the given text. */
     void awaitLog(String text) throws IOException {
         try {
@@ -210,6 +222,14 @@
         assertTrue(process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
     }
 
+    /** Asks the process to end, and kills it if it has not within the time that it is given. */
+    void terminate() throws InterruptedException {
+        process.destroy();
+        if (!process.waitFor(TERMINATION_MILLIS, TimeUnit.MILLISECONDS)) {
+            kill();
+        }
+    }
+
     /** Waits until the process has ended by itself; returns its exit status. */
     int awaitExit() throws InterruptedException {
         assertTrue(process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS));
@@ -237,8 +257,14 @@
 
     /** The request that hands a message in. */
     static String requestText(String grade, String id, int destination, long timeoutMillis) {
+        return requestText(grade, id, "", destination, timeoutMillis);
+    }
+
+    /** The request that hands a message in, with a key unless that is empty. */
+    static String requestText(String grade, String id, String key, int destination, long timeoutMillis) {
         String body = "body of " + id;
-        return "POST /" + grade + " HTTP/1.1\r\nHost: n0\r\nRequest-Id: " + id + "\r\nX-Consignee: dest=" + destination
+        String cookie = key.isEmpty() ? "" : "Cookie: key=" + key + "\r\n";
+        return "POST /" + grade + " HTTP/1.1\r\nHost: n0\r\n" + cookie + "Request-Id: " + id + "\r\nX-Consignee: dest=" + destination
                 + "\r\nRequest-Timeout-Ms: " + timeoutMillis + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
