Each call with notices carries all that wait, and an unanswered one makes room for the next

What callors saw: notices 0.35 to 0.5 s late, so lost, where many messages end while calls with notices are unanswered and connections fail at once. Cause: four calls may be out, each went to the one or two notices that had fallen due, and an unanswered one kept its place for 150 ms although it was taken for lost after 50; failures of many small calls also lengthened the delays of all.

--- a/src/main/java/terndyke/node/http/ReadyConnections.java
+++ b/src/main/java/terndyke/node/http/ReadyConnections.java
@@ -15,7 +15,7 @@
  * one are kept for the time in which no connection can be opened. Used by the pool's owner thread.
  */
 final class ReadyConnections {
-    private static final long OPEN_RETRY_MICROS = 100_000;
+    private static final long OPEN_RETRY_MICROS = 25_000;
     private static final long MAX_AGE_MICROS = 10_000_000; // idle for longer, some networks and servers forget a connection
 
     private final int target;
--- a/src/main/java/terndyke/node/stage/NoticeSender.java
+++ b/src/main/java/terndyke/node/stage/NoticeSender.java
@@ -19,13 +19,15 @@
 
 /**
  * Sends notices to the platform, and repeats each until it is answered. A notice that comes twice does no harm, so a call that is not answered
- * soon holds nothing up: its notices are sent again beside it, and whichever call is answered first settles them. A record is
- * terminated shortly before its abandon time, and several calls in a row may be lost before its notice is late.
+ * soon holds nothing up: its notices are sent again beside it, in a call of their own or in the next one of others, and whichever call is
+ * answered first settles them. A record is terminated shortly before its abandon time, and several calls in a row may be lost before its
+ * notice is late.
  */
 final class NoticeSender {
     private static final int ANSWER_TIME_FACTOR = 3; // an answer that takes longer than usual by this is taken for lost
     private static final int ANSWER_TIME_WEIGHT = 4; // of the average so far, plus one for the latest
-    private static final int FAILURES_BEFORE_BACKOFF = 8; // so many in a row are repeated without growing delays
+    private static final int BACKOFF_DIVISOR = 8; // the pause between calls is at most this part of the time without an answer
+    private static final long NO_FAILURE = Long.MAX_VALUE;
 
     private final Limits limits;
     private final Counters counters;
@@ -34,15 +36,22 @@
     private final TimerQueue timers;
     private final Consumer<LoopEvent> eventQueue;
     private final Consumer<TrackedRecord> settledListener;
-    private final Map<TrackedRecord, Long> dueTimes = new LinkedHashMap<>(); // of the notices not answered yet: when to send them next
+    private final Map<TrackedRecord, PendingNotice> pendingNotices = new LinkedHashMap<>(); // not answered yet
     private final Map<Long, NoticeCall> callsInFlight = new LinkedHashMap<>(); // by number, the oldest first
     private ConnectionPool.Peer platform;
     private long lastCallNumber;
     private int consecutiveFailures; // of calls, including those that are not answered soon
+    private long failingSince = NO_FAILURE;
     private int maxBatchSize = Integer.MAX_VALUE; // notices per call
     private long answerTimeMicros; // an average of the calls answered
 
-    private record NoticeCall(long startedAt, List<TrackedRecord> batch, ConnectionPool.PooledConnection connection) { }
+    private record NoticeCall(long startedAt, long answerExpectedBy, List<TrackedRecord> batch,
+            ConnectionPool.PooledConnection connection) { }
+
+    /** When a notice was sent last, and when it is to be sent again for its own sake. */
+    private record PendingNotice(long sentAt, long dueAt) {
+        private static final PendingNotice NEW = new PendingNotice(Long.MIN_VALUE / 2, 0);
+    }
 
     NoticeSender(Limits limits, Counters counters, NodeLog log, ConnectionPool connectionPool, TimerQueue timers,
             InetSocketAddress platformAddress, Consumer<LoopEvent> eventQueue, Consumer<TrackedRecord> settledListener) {
@@ -59,34 +68,50 @@
 
     /** Adds the notice of a record that has ended, unless it is there already. */
     void add(TrackedRecord record) {
-        dueTimes.putIfAbsent(record, 0L);
+        pendingNotices.putIfAbsent(record, PendingNotice.NEW);
     }
 
     boolean isEmpty() {
-        return dueTimes.isEmpty();
+        return pendingNotices.isEmpty();
     }
 
     /** Sends the notices that are due, and holds connections ready for those to come. */
     void sendDue(long now) {
-        List<TrackedRecord> due = dueNotices(now);
-        while (!due.isEmpty() && makeRoomForCall(now)) {
-            startCall(due, now);
-            due = dueNotices(now);
+        while (isAnyDue(now) && makeRoomForCall(now)) {
+            startCall(noticesToSend(now), now);
         }
         connectionPool.maintainReadyConnections(platform, now);
     }
 
-    private List<TrackedRecord> dueNotices(long now) {
-        return dueTimes.entrySet().stream().filter(entry -> entry.getValue() <= now).map(Map.Entry::getKey).toList();
+    private boolean isAnyDue(long now) {
+        return pendingNotices.values().stream().anyMatch(notice -> notice.dueAt() <= now);
     }
 
-    /** Gives up the oldest call if there are as many as may be, unless it may still be answered in time: then false is returned. */
+    /**
+     * The notices that are due, and behind them those that might have been answered by now: a call that leaves anyway carries them again, so
+     * that the few calls that may be out do not go to a notice or two each.
+     */
+    private List<TrackedRecord> noticesToSend(long now) {
+        List<TrackedRecord> notices = new ArrayList<>();
+        List<TrackedRecord> unansweredNotices = new ArrayList<>();
+        pendingNotices.forEach((record, notice) -> {
+            if (notice.dueAt() <= now) {
+                notices.add(record);
+            } else if (now - notice.sentAt() > ANSWER_TIME_FACTOR * answerTimeMicros) {
+                unansweredNotices.add(record);
+            }
+        });
+        notices.addAll(unansweredNotices);
+        return notices;
+    }
+
+    /** Gives up the oldest call if there are as many as may be, unless its answer is still expected: then false is returned. */
     private boolean makeRoomForCall(long now) {
         if (callsInFlight.size() < limits.maxNoticeCalls()) {
             return true;
         }
         Map.Entry<Long, NoticeCall> oldest = callsInFlight.entrySet().iterator().next();
-        long giveUpAt = oldest.getValue().startedAt() + limits.noticeTimeoutMicros();
+        long giveUpAt = oldest.getValue().answerExpectedBy();
         if (now < giveUpAt) {
             wakeUpAt(giveUpAt);
             return false;
@@ -100,49 +125,46 @@
     }
 
     /** Starts a call with as many of the notices as fit into a body. */
-    private void startCall(List<TrackedRecord> due, long now) {
+    private void startCall(List<TrackedRecord> notices, long now) {
         StringBuilder lines = new StringBuilder();
-        List<TrackedRecord> batch = nextBatch(due, maxBatchSize, limits.maxBodyBytes(), lines);
+        List<TrackedRecord> batch = nextBatch(notices, maxBatchSize, limits.maxBodyBytes(), lines);
         byte[] body = lines.toString().getBytes(StandardCharsets.UTF_8);
         Call call = new Call("POST", "/v2/finals", new String[] {"Host", platform.hostHeader(),
             "Content-Type", "application/json", "Content-Length", Integer.toString(body.length)}, body);
         long callNumber = ++lastCallNumber;
         ConnectionPool.PooledConnection connection = connectionPool.startCall(platform, call, now,
                 result -> eventQueue.accept(new LoopEvent.NoticeCallCompleted(callNumber, batch, result)));
-        callsInFlight.put(callNumber, new NoticeCall(now, batch, connection));
+        long answerExpectedBy = now + expectedAnswerMicros();
+        callsInFlight.put(callNumber, new NoticeCall(now, answerExpectedBy, batch, connection));
         counters.add(Counter.NOTICES_SENT, batch.size());
-        long repeatAt = now + repeatDelay();
-        batch.forEach(record -> dueTimes.put(record, repeatAt));
-        timers.schedule(repeatAt, () -> noteIfUnanswered(callNumber, repeatAt));
+        long repeatAt = Math.max(answerExpectedBy, now + backoffMicros(now, limits.responseTimeoutMicros()));
+        batch.forEach(record -> pendingNotices.put(record, new PendingNotice(now, repeatAt)));
+        timers.schedule(answerExpectedBy, () -> noteIfUnanswered(callNumber, answerExpectedBy));
+        wakeUpAt(repeatAt);
     }
 
     private void noteIfUnanswered(long callNumber, long now) {
         NoticeCall call = callsInFlight.get(callNumber);
         if (call != null) {
-            noteFailure("no answer in " + (now - call.startedAt()) / 1000 + " ms");
+            noteFailure("no answer in " + (now - call.startedAt()) / 1000 + " ms", now);
         }
     }
 
-    /** After which time without an answer a notice is sent again: longer where the platform is slow, or answers nothing at all. */
-    private long repeatDelay() {
-        long usual = Math.max(limits.minNoticeRepeatMicros(),
-                Math.min(ANSWER_TIME_FACTOR * answerTimeMicros, limits.noticeTimeoutMicros()));
-        return Math.min(limits.responseTimeoutMicros(), usual << backoffShift());
-    }
-
-    /** After which time a notice is sent again whose call has failed at once. */
-    private long failureDelay() {
-        return Math.min(limits.retryDelayMicros(), limits.noticeRetryDelayMicros() << backoffShift());
+    /** After which time without an answer a call is taken for lost: longer where the platform is slow. */
+    private long expectedAnswerMicros() {
+        return Math.max(limits.minNoticeRepeatMicros(), Math.min(ANSWER_TIME_FACTOR * answerTimeMicros, limits.noticeTimeoutMicros()));
     }
 
-    private int backoffShift() {
-        return Math.min(10, consecutiveFailures / FAILURES_BEFORE_BACKOFF);
+    /** The pause before a notice is sent again to a platform that has answered nothing for a while. */
+    private long backoffMicros(long now, long maxMicros) {
+        return failingSince == NO_FAILURE ? 0 : Math.min(maxMicros, (now - failingSince) / BACKOFF_DIVISOR);
     }
 
-    private void noteFailure(String reason) {
+    private void noteFailure(String reason, long now) {
         counters.add(Counter.NOTICES_UNANSWERED);
-        String text = "call with notices failed: " + reason + ", " + ++consecutiveFailures + " in a row, " + dueTimes.size()
-                + " pending, first " + dueTimes.keySet().stream().findFirst().map(record -> record.entry.id()).orElse("none");
+        failingSince = Math.min(failingSince, now);
+        String text = "call with notices failed: " + reason + ", " + ++consecutiveFailures + " in a row, " + pendingNotices.size()
+                + " pending, first " + pendingNotices.keySet().stream().findFirst().map(record -> record.entry.id()).orElse("none");
         if (consecutiveFailures == 1) {
             log.warn(text);
         } else {
@@ -195,7 +217,8 @@
             connectionPool.removePeer(platform);
             platform = ConnectionPool.Peer.forPlatform(address, limits.readyNoticeConnections());
             consecutiveFailures = 0;
-            dueTimes.replaceAll((record, dueAt) -> 0L);
+            failingSince = NO_FAILURE;
+            pendingNotices.replaceAll((record, notice) -> PendingNotice.NEW);
         }
     }
 
@@ -213,8 +236,8 @@
             settle(call.batch());
         } else {
             maxBatchSize = status == 400 ? Math.min(maxBatchSize, Math.max(1, call.batch().size() / 2)) : maxBatchSize;
-            noteFailure("status " + status + ", " + completed.result().ending());
-            repeat(call.batch(), now + failureDelay());
+            noteFailure("status " + status + ", " + completed.result().ending(), now);
+            repeat(call.batch(), now + Math.max(limits.noticeRetryDelayMicros(), backoffMicros(now, limits.retryDelayMicros())));
         }
     }
 
@@ -224,24 +247,25 @@
         settle(call.batch());
         if (consecutiveFailures > 0) {
             consecutiveFailures = 0;
-            log.info("notices answered again, " + dueTimes.size() + " pending");
+            failingSince = NO_FAILURE;
+            log.info("notices answered again, " + pendingNotices.size() + " pending");
         }
     }
 
     private void repeat(List<TrackedRecord> batch, long dueAt) {
-        batch.forEach(record -> dueTimes.computeIfPresent(record, (pending, earlier) -> dueAt));
+        batch.forEach(record -> pendingNotices.computeIfPresent(record, (pending, notice) -> new PendingNotice(notice.sentAt(), dueAt)));
         wakeUpAt(dueAt);
     }
 
     /** The notices are answered. Calls that carry no others are given up. */
     private void settle(List<TrackedRecord> batch) {
         for (TrackedRecord record : batch) {
-            if (dueTimes.remove(record) != null) {
+            if (pendingNotices.remove(record) != null) {
                 settledListener.accept(record);
             }
         }
         List<Long> superfluous = callsInFlight.entrySet().stream()
-                .filter(entry -> entry.getValue().batch().stream().noneMatch(dueTimes::containsKey)).map(Map.Entry::getKey).toList();
+                .filter(entry -> entry.getValue().batch().stream().noneMatch(pendingNotices::containsKey)).map(Map.Entry::getKey).toList();
         superfluous.forEach(this::giveUp);
     }
 }
