--- a/src/test/java/terndyke/FinalAnswerRecorder.java
+++ b/src/test/java/terndyke/FinalAnswerRecorder.java
@@ -59,6 +59,13 @@
         return outcome;
     }
 
+    /** Hands a message with a body of the given size in; notes it if it is taken on. */
+    void submitLarge(TestNodeProcess node, String grade, String id, int destination, long timeoutMillis, int bodyBytes) throws IOException {
+        String request = TestNodeProcess.requestText(grade, id, destination, timeoutMillis).replace("Content-Length: " + ("body of " + id).length(),
+                "Content-Length: " + bodyBytes).replace("body of " + id, "b".repeat(bodyBytes));
+        note(id, System.nanoTime(), timeoutMillis, node.sendRaw(request, false));
+    }
+
     private boolean note(String id, long handedInNanos, long timeoutMillis, String answer) {
         boolean taken = answer.contains(" 202 ");
         if (taken) {
--- a/src/test/java/terndyke/NoticeFaultProcessTest.java
+++ b/src/test/java/terndyke/NoticeFaultProcessTest.java
@@ -31,6 +31,8 @@
     private static final double UNANSWERED_SHARE = 0.4;
     private static final int MANY_MESSAGES = 800;
     private static final int MANY_TIMEOUTS_MILLIS = 3_000;
+    private static final int SLOW_ANSWER_MILLIS = 250;
+    private static final int SETTLED_MICROS = 1_000_000; // in which each notice is answered and its key free
     private static final int HALF_OF_THE_CALLS = 500; // per mille
 
     private final FinalAnswerRecorder answers = new FinalAnswerRecorder();
@@ -130,13 +132,42 @@
                 RawServer platform = new RawServer(request -> answerSomeNotices(request, endpoint));
                 TestNodeProcess node = TestNodeProcess.startServingWithManyMessages(folder, shim.shellPrefix(), platform.address())) {
             shim.fail(Operation.CONNECT, SystemError.EADDRNOTAVAIL, HALF_OF_THE_CALLS);
-            for (int i = 0; i < MANY_MESSAGES; i++) {
-                answers.submit(node, "payment", "many" + i, i % DESTINATIONS, SHORTEST_TIMEOUT_MILLIS + random.nextInt(MANY_TIMEOUTS_MILLIS));
-            }
+            submitManyMessages(node);
             answers.awaitEnds();
-            assertTrue(answers.takenCount() > MANY_MESSAGES / 2, "only " + answers.takenCount() + " were taken on");
             assertEquals(List.of(), answers.lost());
             assertTrue(node.counter("connects_failed_locally") > 0, "no fault was met");
         }
     }
+
+    /** Guards against calls that are given up for new ones, again and again, before a slow platform can answer them. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void noNoticeIsLateWhileThePlatformIsSlow() throws Exception {
+        buildShim();
+        try (RawServer endpoint = new RawServer(call -> Response.NO_RESPONSE);
+                RawServer platform = new RawServer(request -> answerNoticesLate(request, endpoint));
+                TestNodeProcess node = TestNodeProcess.startServingWithManyMessages(folder, shim.shellPrefix(), platform.address())) {
+            submitManyMessages(node);
+            answers.awaitEnds();
+            assertEquals(List.of(), answers.lost());
+            ProcessTestSupport.sleep(SLOW_ANSWER_MILLIS);
+            assertEquals(answers.takenCount(), node.counter("notices_answered"));
+            assertTrue(node.counter("longest_notice") <= SETTLED_MICROS, "a notice was pending for " + node.counter("longest_notice") + " us");
+        }
+    }
+
+    /** The notices are noted as the answer is written: until then their platform has not accepted them. */
+    private Response answerNoticesLate(Request request, RawServer endpoint) {
+        if (request.path().equals("/v2/finals")) {
+            ProcessTestSupport.sleep(SLOW_ANSWER_MILLIS);
+        }
+        return answers.answerPlatform(request, endpoint.address(), DESTINATIONS);
+    }
+
+    private void submitManyMessages(TestNodeProcess node) throws Exception {
+        for (int i = 0; i < MANY_MESSAGES; i++) {
+            answers.submit(node, "payment", "many" + i, i % DESTINATIONS, SHORTEST_TIMEOUT_MILLIS + random.nextInt(MANY_TIMEOUTS_MILLIS));
+        }
+        assertTrue(answers.takenCount() > MANY_MESSAGES / 2, "only " + answers.takenCount() + " were taken on");
+    }
 }
