Calls with notices leave at intervals, and a slow platform can still answer the oldest

What callors saw: where the platform answers slowly, no notice was ever settled, although it arrived: each blocks its key, so that the messages behind it wait until their time is over. Cause: the oldest of four calls was given up for a new one, sooner than its answer could come. Change: while a call is out, another leaves 40 ms after the one before it at the earliest; eight may be out, and the oldest but one makes room after 300 ms, the oldest after a second. 18 descriptors are set aside for the platform. Why it works: the oldest call is not given up before its answer can come, and carries all that waited when it left.

--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -27,10 +27,10 @@
         long startTimeoutMicros, long maxStartRetryMicros, long warmUpTimeoutMicros, long shutdownGracePeriodMicros, long minShutdownMicros,
         long finalEventPollMicros, long closeTimeoutMicros,
         long failedActionDelayMicros, long overdueRecordMicros, long slowTurnThresholdMicros, long slowTurnLogIntervalMicros, long noticeDeadlineMicros, long noticeTimeoutMicros,
-        long noticeRetryDelayMicros, int maxNoticeCalls, long minNoticeRepeatMicros, int readyNoticeConnections,
+        long noticeRetryDelayMicros, int maxNoticeCalls, long noticeCallIntervalMicros, long maxNoticeRepeatMicros, int readyNoticeConnections,
             int readyWatchConnections) {
 
-    private static final int PLATFORM_CONNECTIONS = 16; // notices and list: calls in progress, and connections held ready
+    private static final int PLATFORM_CONNECTIONS = 18; // notices and list: calls in progress, and connections held ready
     private static final int REQUEST_MEMORY_DIVISOR = 6; // of the heap: requests on their way to the decision thread
     private static final int RESPONSE_MEMORY_DIVISOR = 12; // of the heap: responses of endpoints and the platform
     private static final int RECORD_MEMORY_DIVISOR = 5; // of the heap: records held
@@ -67,6 +67,6 @@
                 2_000_000, 700_000, 3, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
                 60_000_000, 1024, 10_000_000, 20_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000,
-                20_000, 50_000, 100_000, 1_000_000, 300_000, 150_000, 25_000, 4, 30_000, 4, 1);
+                20_000, 50_000, 100_000, 1_000_000, 300_000, 300_000, 25_000, 8, 40_000, 150_000, 4, 1);
     }
 }
--- a/src/main/java/terndyke/node/stage/NoticeSender.java
+++ b/src/main/java/terndyke/node/stage/NoticeSender.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,13 +41,14 @@
     private final Map<Long, NoticeCall> callsInFlight = new LinkedHashMap<>(); // by number, the oldest first
     private ConnectionPool.Peer platform;
     private long lastCallNumber;
+    private long lastCallStartedAt;
+    private long wakeUpAt; // the latest time for which a timer has been set
     private int consecutiveFailures; // of calls, including those that are not answered soon
     private long failingSince = NO_FAILURE;
     private int maxBatchSize = Integer.MAX_VALUE; // notices per call
     private long answerTimeMicros; // an average of the calls answered
 
-    private record NoticeCall(long startedAt, long answerExpectedBy, List<TrackedRecord> batch,
-            ConnectionPool.PooledConnection connection) { }
+    private record NoticeCall(long startedAt, List<TrackedRecord> batch, ConnectionPool.PooledConnection connection) { }
 
     /** When a notice was sent last, and when it is to be sent again for its own sake. */
     private record PendingNotice(long sentAt, long dueAt) {
@@ -63,7 +65,7 @@
         this.eventQueue = eventQueue;
         this.settledListener = settledListener;
         platform = ConnectionPool.Peer.forPlatform(platformAddress, limits.readyNoticeConnections());
-        answerTimeMicros = 2 * limits.minNoticeRepeatMicros() / ANSWER_TIME_FACTOR;
+        answerTimeMicros = limits.noticeCallIntervalMicros() / ANSWER_TIME_FACTOR;
     }
 
     /** Adds the notice of a record that has ended, unless it is there already. */
@@ -77,7 +79,7 @@
 
     /** Sends the notices that are due, and holds connections ready for those to come. */
     void sendDue(long now) {
-        while (isAnyDue(now) && makeRoomForCall(now)) {
+        while (isAnyDue(now) && mayStartCall(now)) {
             startCall(noticesToSend(now), now);
         }
         connectionPool.maintainReadyConnections(platform, now);
@@ -105,21 +107,37 @@
         return notices;
     }
 
-    /** Gives up the oldest call if there are as many as may be, unless its answer is still expected: then false is returned. */
-    private boolean makeRoomForCall(long now) {
-        if (callsInFlight.size() < limits.maxNoticeCalls()) {
+    /**
+     * True at once if no call is out. Otherwise calls leave at intervals, so that they are not used up by a notice or two each. Where as many
+     * are out as may be, one is given up.
+     */
+    private boolean mayStartCall(long now) {
+        if (callsInFlight.isEmpty()) {
             return true;
         }
-        Map.Entry<Long, NoticeCall> oldest = callsInFlight.entrySet().iterator().next();
-        long giveUpAt = oldest.getValue().answerExpectedBy();
-        if (now < giveUpAt) {
-            wakeUpAt(giveUpAt);
+        boolean full = callsInFlight.size() >= limits.maxNoticeCalls();
+        long mayStartAt = Math.max(lastCallStartedAt + limits.noticeCallIntervalMicros(), full ? giveUpTime(callToGiveUp(now)) : 0);
+        if (now < mayStartAt) {
+            wakeUpAt(mayStartAt);
             return false;
         }
-        giveUp(oldest.getKey());
+        if (full) {
+            giveUp(callToGiveUp(now).getKey());
+        }
         return true;
     }
 
+    /** The oldest call but one, so that a platform that is slow can still answer the oldest; that one too once it is long overdue. */
+    private Map.Entry<Long, NoticeCall> callToGiveUp(long now) {
+        Iterator<Map.Entry<Long, NoticeCall>> oldestFirst = callsInFlight.entrySet().iterator();
+        Map.Entry<Long, NoticeCall> oldest = oldestFirst.next();
+        return now - oldest.getValue().startedAt() < limits.responseTimeoutMicros() && oldestFirst.hasNext() ? oldestFirst.next() : oldest;
+    }
+
+    private long giveUpTime(Map.Entry<Long, NoticeCall> call) {
+        return call.getValue().startedAt() + limits.noticeTimeoutMicros();
+    }
+
     private void giveUp(long callNumber) {
         connectionPool.cancelCall(callsInFlight.remove(callNumber).connection());
     }
@@ -135,9 +153,10 @@
         ConnectionPool.PooledConnection connection = connectionPool.startCall(platform, call, now,
                 result -> eventQueue.accept(new LoopEvent.NoticeCallCompleted(callNumber, batch, result)));
         long answerExpectedBy = now + expectedAnswerMicros();
-        callsInFlight.put(callNumber, new NoticeCall(now, answerExpectedBy, batch, connection));
+        callsInFlight.put(callNumber, new NoticeCall(now, batch, connection));
+        lastCallStartedAt = now;
         counters.add(Counter.NOTICES_SENT, batch.size());
-        long repeatAt = Math.max(answerExpectedBy, now + backoffMicros(now, limits.responseTimeoutMicros()));
+        long repeatAt = Math.max(answerExpectedBy, now + backoffMicros(now));
         batch.forEach(record -> pendingNotices.put(record, new PendingNotice(now, repeatAt)));
         timers.schedule(answerExpectedBy, () -> noteIfUnanswered(callNumber, answerExpectedBy));
         wakeUpAt(repeatAt);
@@ -152,12 +171,12 @@
 
     /** After which time without an answer a call is taken for lost: longer where the platform is slow. */
     private long expectedAnswerMicros() {
-        return Math.max(limits.minNoticeRepeatMicros(), Math.min(ANSWER_TIME_FACTOR * answerTimeMicros, limits.noticeTimeoutMicros()));
+        return Math.max(limits.noticeCallIntervalMicros(), Math.min(ANSWER_TIME_FACTOR * answerTimeMicros, limits.maxNoticeRepeatMicros()));
     }
 
     /** The pause before a notice is sent again to a platform that has answered nothing for a while. */
-    private long backoffMicros(long now, long maxMicros) {
-        return failingSince == NO_FAILURE ? 0 : Math.min(maxMicros, (now - failingSince) / BACKOFF_DIVISOR);
+    private long backoffMicros(long now) {
+        return failingSince == NO_FAILURE ? 0 : Math.min(limits.retryDelayMicros(), (now - failingSince) / BACKOFF_DIVISOR);
     }
 
     private void noteFailure(String reason, long now) {
@@ -173,7 +192,10 @@
     }
 
     private void wakeUpAt(long time) {
-        timers.schedule(time, () -> { });
+        if (wakeUpAt != time) {
+            wakeUpAt = time;
+            timers.schedule(time, () -> { });
+        }
     }
 
     /** Takes the first records whose notices fit into the given bytes: at least one, at most the given number. */
@@ -237,7 +259,7 @@
         } else {
             maxBatchSize = status == 400 ? Math.min(maxBatchSize, Math.max(1, call.batch().size() / 2)) : maxBatchSize;
             noteFailure("status " + status + ", " + completed.result().ending(), now);
-            repeat(call.batch(), now + Math.max(limits.noticeRetryDelayMicros(), backoffMicros(now, limits.retryDelayMicros())));
+            repeat(call.batch(), now + Math.max(limits.noticeRetryDelayMicros(), backoffMicros(now)));
         }
     }
 
