A configuration that cannot be read is read again for a while

What callors saw: after a SIGHUP while open ended with ENFILE the node stayed with discovery and the platform at their old address; a node that was started then ended with status 2. Cause: one failed read counted as a rejected configuration. Evidence: theNewAddressIsTakenUpAfterTheConfigurationCouldNotBeOpened, red before. Change: TransientErrorRetry (StartRetry until now) repeats the reading for 5 s, except where the file is missing or may not be read; what is read and wrong is still rejected at once.

--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -48,7 +48,7 @@
     /** Restores the unfinished records of the previous run from the journal, and serves clients from then on. */
     public void start() throws IOException {
         Limits limits = configuration.limits();
-        StartRetry startRetry = new StartRetry(log, limits.maxStartRetryMicros());
+        TransientErrorRetry startRetry = new TransientErrorRetry(log::warn, limits.maxStartRetryMicros());
         List<JournalEntry> entries = new ArrayList<>();
         journal = startRetry.run("cannot open the journal in " + configuration.stateDirectory(), () -> {
             entries.clear();
--- a/src/main/java/terndyke/node/NodeConfiguration.java
+++ b/src/main/java/terndyke/node/NodeConfiguration.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +19,7 @@
         Path stateDirectory, Limits limits, Map<String, String> knownEndpoints, DeliverySettings deliverySettings,
         List<String> gradeNames, List<String> tenantNames, List<String> zoneNames, List<String> endpointKinds,
         List<String> reportFields) {
+    private static final long MAX_READ_RETRY_MICROS = 5_000_000; // the system may have no descriptor for a while
 
     /**
      * Values given on the command line or in the environment. They override the configuration file; null means not given.
@@ -33,13 +35,23 @@
         if (options.stateDirectory() == null) {
             throw new IOException("no state directory given");
         }
+        String failure = "cannot read configuration " + options.configurationFile();
+        byte[] json = new TransientErrorRetry(text -> { }, MAX_READ_RETRY_MICROS).run(failure, () -> readFile(options.configurationFile()));
         try {
-            return read(Files.readAllBytes(Path.of(options.configurationFile())), options);
+            return read(json, options);
         } catch (IOException e) {
-            throw new IOException("cannot read configuration " + options.configurationFile() + ": " + e.getMessage(), e);
+            throw new IOException(failure + ": " + e.getMessage(), e);
         }
     }
 
+    private static byte[] readFile(String name) throws IOException {
+        Path path = Path.of(name);
+        if (Files.isDirectory(path)) {
+            throw new NoSuchFileException(name, null, "is a directory");
+        }
+        return Files.readAllBytes(path);
+    }
+
     static NodeConfiguration read(byte[] json, StartupOptions options) throws IOException {
         try {
             return read(FlatJson.read(json), options);
--- a/src/main/java/terndyke/node/StartRetry.java
+++ b/src/main/java/terndyke/node/TransientErrorRetry.java
@@ -7,15 +7,16 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.NotDirectoryException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
- * Repeats the steps of a start that fail, for a limited time in all: the state folder may fail for a while, and the system may have no
- * descriptor or memory. A node that ended instead would be late with all that its previous run owes.
+ * Repeats steps that fail, for a limited time in all: the state folder may fail for a while, and the system may have no descriptor or memory.
+ * A node that ended instead would be late with all that its previous run owes.
  */
-final class StartRetry {
+final class TransientErrorRetry {
     private static final long RETRY_MILLIS = 100;
 
-    private final NodeLog log;
+    private final Consumer<String> log;
     private final long deadlineNanos;
 
     /** A step that may fail with an error that does not last. */
@@ -24,8 +25,8 @@
         T run() throws IOException;
     }
 
-    /** Begins the time in which steps are repeated. */
-    StartRetry(NodeLog log, long maxMicros) {
+    /** Begins the time in which steps are repeated; the log is told of each step that fails, once. */
+    TransientErrorRetry(Consumer<String> log, long maxMicros) {
         this.log = log;
         deadlineNanos = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(maxMicros);
     }
@@ -41,7 +42,7 @@
                     throw new IOException(failure + ": " + e.getMessage(), e);
                 }
                 if (!logged) {
-                    log.warn(failure + ", trying again: " + e);
+                    log.accept(failure + ", trying again: " + e);
                     logged = true;
                 }
                 pause();
@@ -60,7 +61,7 @@
             TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            throw new IOException("interrupted while starting", e);
+            throw new IOException("interrupted while waiting to try again", e);
         }
     }
 }
