An error in ending one overdue connection ends neither the monitor nor the process

By reading: an exception in onDeadlinePassed would end the thread and with it the process. It is logged now, and the next connections are looked at. The shim's EINTR from connect goes on with the attempt, as Linux does.

--- a/src/main/java/terndyke/node/http/DeadlineMonitor.java
+++ b/src/main/java/terndyke/node/http/DeadlineMonitor.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -15,6 +16,7 @@
 
     private final LongSupplier clock;
     private final long checkIntervalMicros;
+    private final Consumer<Exception> errorListener;
     private final Set<TimedConnection> connections = ConcurrentHashMap.newKeySet();
     private volatile boolean closing;
 
@@ -28,9 +30,11 @@
         void onDeadlinePassed(long now);
     }
 
-    DeadlineMonitor(LongSupplier clock, long checkIntervalMicros) {
+    /** Creates a monitor; the listener is told of errors in ending a connection, which keep no other from its end. */
+    DeadlineMonitor(LongSupplier clock, long checkIntervalMicros, Consumer<Exception> errorListener) {
         this.clock = clock;
         this.checkIntervalMicros = checkIntervalMicros;
+        this.errorListener = errorListener;
     }
 
     void add(TimedConnection connection) {
@@ -45,11 +49,19 @@
         long now = clock.getAsLong();
         for (TimedConnection connection : connections) {
             if (connection.deadline() <= now) {
-                connection.onDeadlinePassed(now);
+                end(connection, now);
             }
         }
     }
 
+    private void end(TimedConnection connection, long now) {
+        try {
+            connection.onDeadlinePassed(now);
+        } catch (RuntimeException e) {
+            errorListener.accept(e);
+        }
+    }
+
     @Override
     public void run() {
         try {
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -83,7 +83,7 @@
         this.limits = limits;
         this.counters = counters;
         this.log = log;
-        deadlineMonitor = new DeadlineMonitor(() -> System.nanoTime() / 1000, limits.selectIntervalMicros());
+        deadlineMonitor = new DeadlineMonitor(() -> System.nanoTime() / 1000, limits.selectIntervalMicros(), this::logIoError);
         clientConnections = new ClientConnections(limits, () -> System.nanoTime() / 1000, deadlineMonitor, counters);
         httpConfig = createHttpConfig(limits);
         responseWriterFactory = new DefaultHttpResponseWriterFactory(httpConfig);
--- a/src/test/c/fault_shim.c
+++ b/src/test/c/fault_shim.c
@@ -187,6 +187,9 @@
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
     ORIGINAL(int, connect, (int, const struct sockaddr *, socklen_t));
     int64_t error = drawn_error(OP_CONNECT);
+    if (error == EINTR) {
+        real(fd, address, length); /* Linux goes on with the attempt */
+    }
     return error != 0 ? fail(error) : real(fd, address, length);
 }
 
--- a/src/test/java/terndyke/node/http/ClientConnectionsTest.java
+++ b/src/test/java/terndyke/node/http/ClientConnectionsTest.java
@@ -29,7 +29,7 @@
     private final Set<IOSession> closed = new HashSet<>();
     private final Map<IOSession, Integer> eventMasks = new HashMap<>();
     private long now = 1_000_000;
-    private final DeadlineMonitor deadlineMonitor = new DeadlineMonitor(() -> now, limits.selectIntervalMicros());
+    private final DeadlineMonitor deadlineMonitor = new DeadlineMonitor(() -> now, limits.selectIntervalMicros(), error -> { });
     private final ClientConnections clientConnections = new ClientConnections(limits, () -> now, deadlineMonitor, new Counters());
 
     private IOSession createSession() {
