A call for which this machine has no socket waits for one, and says nothing of its endpoint

What callors saw: after a shortage of sockets (ENFILE, ENOBUFS, EADDRNOTAVAIL) messages to healthy endpoints waited untried until their time was over, and ended by notices, many at once. Cause: a connection that could not be opened here counted as 'could not connect' to the endpoint, so that all destinations were suspected of an outage, and probed and started slowly afterwards. Change: ConnectAttempt, taken out of ConnectionPool, tries again within the connect timeout while the failure is of this machine; what then has no connection is not sent, and a probe or a call that is given up meanwhile says nothing either. Calls to the platform do not wait: they have ready connections to turn to.

--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -15,13 +15,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
-import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.EntityDetails;
 import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpConnection;
@@ -173,9 +171,7 @@
         private volatile IOSession session;
         private volatile HttpConnection httpConnection;
         private volatile boolean discarded;
-        private volatile Future<IOSession> pendingConnect;
-        private volatile long connectDeadline = DeadlineMonitor.NONE; // on System.nanoTime(), in microseconds
-        private volatile boolean connectTimedOut;
+        private volatile ConnectAttempt connectAttempt; // null until it is opened
         private volatile Exchange exchange;
         private volatile boolean closeAfterCall; // the peer closes it, or closeIdle() has marked it
         private long idleSince;
@@ -206,24 +202,27 @@
         public long deadline() {
             Exchange currentExchange = exchange;
             if (session == null) {
-                return connectDeadline;
+                return connectAttempt == null ? DeadlineMonitor.NONE : connectAttempt.nextDeadline();
             }
             return currentExchange == null || currentExchange.completed ? DeadlineMonitor.NONE : currentExchange.responseDeadline;
         }
 
-        /** Gives up a connection that has not come up in time, or a response whose rest has not. */
+        /** Tries again to establish the connection, gives that up, or gives up a response whose rest has not come in time. */
         @Override
         public void onDeadlinePassed(long now) {
             IOSession currentSession = session;
-            Future<IOSession> connect = pendingConnect;
-            if (currentSession != null && deadline() <= now) {
+            if (currentSession == null) {
+                connectAttempt.onDeadlinePassed(now);
+            } else if (deadline() <= now) {
                 currentSession.close(CloseMode.IMMEDIATE);
-            } else if (currentSession == null && connect != null) {
-                connectTimedOut = true;
-                connect.cancel(true);
             }
         }
 
+        /** True if it is not established yet because this machine lacks a socket or a local address for it. */
+        public boolean lacksLocalResource() {
+            return session == null && connectAttempt != null && connectAttempt.lacksLocalResource();
+        }
+
         /** The number of bytes that have been received on this connection and not parsed. */
         int unparsedBytes() {
             return responseParser.unparsedBytes();
@@ -428,7 +427,8 @@
         connection.exchange = exchange;
         busyConnections.add(connection);
         open(connection, session -> enqueueCall(session, exchange),
-                () -> exchange.deliverResult(Call.Result.withoutResponse(Ending.NOT_CONNECTED)));
+                failure -> exchange.deliverResult(Call.Result.withoutResponse(
+                        failure == ConnectAttempt.Failure.LOCAL && !peer.platform ? Ending.NOT_SENT : Ending.NOT_CONNECTED)));
         return connection;
     }
 
@@ -441,44 +441,49 @@
         }
     }
 
-    /** Opens a connection; one of the listeners is called on the I/O thread. */
-    private void open(PooledConnection connection, Consumer<IOSession> onConnected, Runnable onFailure) {
+    /**
+     * Opens a connection; one of the listeners is called, on another thread. Calls to endpoints wait for a local resource that is missing;
+     * those to the platform have other connections to turn to.
+     */
+    private void open(PooledConnection connection, Consumer<IOSession> onConnected, Consumer<ConnectAttempt.Failure> onFailure) {
         connection.countedAsOpen = !connection.peer.platform;
         openCount += connection.countedAsOpen ? 1 : 0;
         counters.add(Counter.CONNECTIONS_OPENED);
-        connection.connectDeadline = System.nanoTime() / 1000 + limits.connectTimeoutMicros();
-        connection.pendingConnect = reactor.connect(connection.peer.address, connection, new FutureCallback<>() {
+        LongSupplier monotonicClock = () -> System.nanoTime() / 1000;
+        connection.connectAttempt = new ConnectAttempt(callback -> reactor.connect(connection.peer.address, connection, callback),
+                createConnectListener(connection, onConnected, onFailure), monotonicClock,
+                monotonicClock.getAsLong() + limits.connectTimeoutMicros(), !connection.peer.platform);
+        reactor.deadlines().add(connection);
+        connection.connectAttempt.start();
+    }
+
+    private ConnectAttempt.Listener createConnectListener(PooledConnection connection, Consumer<IOSession> onConnected,
+            Consumer<ConnectAttempt.Failure> onFailure) {
+        return new ConnectAttempt.Listener() {
             @Override
-            public void completed(IOSession session) {
-                connection.peer.connectFailed = false;
-                onConnected.accept(session);
+            public void onLocalFailure(Exception cause) {
+                connection.peer.connectFailed = true;
+                counters.add(Counter.CONNECTS_FAILED_LOCALLY);
             }
 
             @Override
-            public void failed(Exception cause) {
-                noteFailure(ConnectFailure.isLocal(cause) ? Counter.CONNECTS_FAILED_LOCALLY : Counter.CONNECTS_FAILED, cause.toString());
-                end();
+            public void onConnected(IOSession session) {
+                connection.peer.connectFailed = false;
+                onConnected.accept(session);
             }
 
             @Override
-            public void cancelled() {
-                if (connection.connectTimedOut) {
-                    noteFailure(Counter.CONNECTS_FAILED, "no answer in " + limits.connectTimeoutMicros() / 1000 + " ms");
+            public void onFailed(ConnectAttempt.Failure failure, String reason) {
+                reactor.deadlines().remove(connection);
+                if (failure != ConnectAttempt.Failure.CANCELLED) {
+                    connection.peer.connectFailed = true;
+                    counters.add(Counter.CONNECTS_FAILED, failure == ConnectAttempt.Failure.REMOTE ? 1 : 0);
+                    log.infoAboutRecord(connection.describe() + " not established: " + reason);
                 }
-                end();
-            }
-
-            private void noteFailure(Counter counter, String reason) {
-                connection.peer.connectFailed = true;
-                counters.add(counter);
-                log.infoAboutRecord(connection.describe() + " not established: " + reason);
-            }
-
-            private void end() {
-                onFailure.run();
+                onFailure.accept(failure);
                 releaseListener.accept(connection);
             }
-        });
+        };
     }
 
     /**
@@ -492,7 +497,7 @@
     private PooledConnection openReadyConnection(Peer peer, long now) {
         PooledConnection connection = new PooledConnection(peer);
         connection.idleSince = now;
-        open(connection, session -> { }, () -> { });
+        open(connection, session -> { }, failure -> { });
         return connection;
     }
 
@@ -687,8 +692,8 @@
         connection.discarded = true;
         openCount -= connection.countedAsOpen ? 1 : 0;
         connection.countedAsOpen = false;
-        if (connection.pendingConnect != null && connection.session == null) {
-            connection.pendingConnect.cancel(true);
+        if (connection.connectAttempt != null && connection.session == null) {
+            connection.connectAttempt.cancel();
         }
         IOSession session = connection.session;
         if (session != null) {
@@ -717,7 +722,7 @@
         private boolean released;
         private int discardedBytes; // bytes of the response body that were not kept
         private int informationalResponses;
-        private volatile long responseDeadline = DeadlineMonitor.NONE; // by when the response has to be complete, as connectDeadline
+        private volatile long responseDeadline = DeadlineMonitor.NONE; // by when the response has to be complete, on System.nanoTime(), in microseconds
         private ResponseDefect defect = ResponseDefect.NONE;
 
         Exchange(PooledConnection pooledConnection, Call call, long inputKnownUntil, Call.ResultListener resultListener) {
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -334,10 +334,9 @@
         createDaemonThread(clientListener, "terndyke-accept").start();
     }
 
-    /** Opens an outbound connection, whose deadlines are monitored from now on. */
+    /** Opens an outbound connection, without a timeout of the library. */
     Future<IOSession> connect(InetSocketAddress address, ConnectionPool.PooledConnection pooledConnection,
             FutureCallback<IOSession> callback) {
-        deadlineMonitor.add(pooledConnection);
         return ioReactor.connect(new NamedEndpoint() {
             @Override
             public String getHostName() {
@@ -348,24 +347,12 @@
             public int getPort() {
                 return address.getPort();
             }
-        }, address, null, Timeout.DISABLED, pooledConnection, new FutureCallback<>() {
-            @Override
-            public void completed(IOSession session) {
-                callback.completed(session);
-            }
-
-            @Override
-            public void failed(Exception cause) {
-                deadlineMonitor.remove(pooledConnection);
-                callback.failed(cause);
-            }
+        }, address, null, Timeout.DISABLED, pooledConnection, callback);
+    }
 
-            @Override
-            public void cancelled() {
-                deadlineMonitor.remove(pooledConnection);
-                callback.cancelled();
-            }
-        });
+    /** The monitor of the deadlines of all connections; outbound ones are removed from it once they are disconnected. */
+    DeadlineMonitor deadlines() {
+        return deadlineMonitor;
     }
 
     private void logIoError(Exception cause) {
--- a/src/main/java/terndyke/node/stage/SendStage.java
+++ b/src/main/java/terndyke/node/stage/SendStage.java
@@ -148,8 +148,9 @@
     private void cancelShot(TrackedRecord record, TrackedRecord.Shot shot, long endpointNumber, Ending ending) {
         if (shot.ending == null && shot.connection != null) {
             // once the record has ended, a connection that was not established in time says nothing about the endpoint
+            Ending endingWithoutConnection = shot.connection.lacksLocalResource() ? Ending.NOT_SENT : Ending.NOT_CONNECTED;
             boolean notConnected = connectionPool.cancelCall(shot.connection) && record.isOpen();
-            Ending actualEnding = notConnected ? Ending.NOT_CONNECTED : ending;
+            Ending actualEnding = notConnected ? endingWithoutConnection : ending;
             if (record.isOpen()) {
                 log.infoAboutRecord(describeShot(record, shot, actualEnding, decisionLoop.now()));
             }
@@ -304,8 +305,9 @@
         log.trace(now, "probe", endpoint.uid(), endpoint.destination());
         timers.schedule(now + limits.probeTimeoutMicros(), () -> {
             if (!probe.completed) {
+                Ending ending = probe.connection.lacksLocalResource() ? Ending.NOT_SENT : Ending.TIMED_OUT;
                 connectionPool.cancelCall(probe.connection);
-                complete(probe, Ending.TIMED_OUT, decisionLoop.now(), NO_REPORT);
+                complete(probe, ending, decisionLoop.now(), NO_REPORT);
             }
         });
     }
