While no connection to the platform can be opened, calls with notices keep their intervals

What callors saw: notices up to 1.4 s late where the system has no sockets for 2.5 s and 15 in a hundred calls with notices are unanswered: each unanswered call costs one of the eight connections at hand, and where none was out a call left for each notice. Change: the interval of 40 ms holds while connections fail, too; eight connections are held ready in place of four where there are 512 descriptors or more. NoticeFaultProcessTest 5, NodeConfigurationTest 7, StageTest 23, all green.

--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -30,7 +30,10 @@
         long noticeRetryDelayMicros, int maxNoticeCalls, long noticeCallIntervalMicros, long maxNoticeRepeatMicros, int readyNoticeConnections,
             int readyWatchConnections) {
 
-    private static final int PLATFORM_CONNECTIONS = 18; // notices and list: calls in progress, and connections held ready
+    private static final int READY_NOTICE_CONNECTIONS = 8;
+    private static final int FEW_READY_NOTICE_CONNECTIONS = 4; // where descriptors are few
+    private static final int FEW_DESCRIPTORS = 512;
+    private static final int OTHER_PLATFORM_CONNECTIONS = 10; // calls with notices, the list
     private static final int REQUEST_MEMORY_DIVISOR = 6; // of the heap: requests on their way to the decision thread
     private static final int RESPONSE_MEMORY_DIVISOR = 12; // of the heap: responses of endpoints and the platform
     private static final int RECORD_MEMORY_DIVISOR = 5; // of the heap: records held
@@ -51,8 +54,10 @@
         long heapBytes = Math.min(memoryMb * 1_000_000L, maxHeapBytes);
         int descriptors = Math.max(64, sockets - 48); // 48 for the process itself: jar, selectors, journal, log
         int endpointConnections = Math.max(8, Math.min(descriptors / 2, 8 * slots));
+        int readyNoticeConnections = descriptors < FEW_DESCRIPTORS ? FEW_READY_NOTICE_CONNECTIONS : READY_NOTICE_CONNECTIONS;
+        int platformConnections = OTHER_PLATFORM_CONNECTIONS + 2 * readyNoticeConnections; // unused and used ones
         int pendingConnections = 16; // accepted by the listener, not yet handled
-        int clientConnections = Math.max(16, Math.min(descriptors - endpointConnections - PLATFORM_CONNECTIONS - pendingConnections, memoryMb * 2));
+        int clientConnections = Math.max(16, Math.min(descriptors - endpointConnections - platformConnections - pendingConnections, memoryMb * 2));
         long journalBytes = Math.max(64 << 10, (long) (diskMb * 1_000_000) - (16 << 10));
         int endedRecords = (int) Math.min(16 * 1024, journalBytes / 8 / 160);
         return new Limits(64 << 10, 2 << 20, 8 << 10, 64, 200, 4 << 10,
@@ -67,6 +72,6 @@
                 2_000_000, 700_000, 3, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
                 60_000_000, 1024, 10_000_000, 20_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000,
-                20_000, 50_000, 100_000, 1_000_000, 300_000, 300_000, 25_000, 8, 40_000, 150_000, 4, 1);
+                20_000, 50_000, 100_000, 1_000_000, 300_000, 300_000, 25_000, 8, 40_000, 150_000, readyNoticeConnections, 1);
     }
 }
--- a/src/main/java/terndyke/node/http/ConnectionPool.java
+++ b/src/main/java/terndyke/node/http/ConnectionPool.java
@@ -141,6 +141,11 @@
             this.retryAfterReceivedAt = retryAfterReceivedAt;
         }
 
+        /** True if the last connection to it that was to be opened could not be established. */
+        public boolean isConnectFailing() {
+            return connectFailed;
+        }
+
         public InetSocketAddress address() {
             return address;
         }
--- a/src/main/java/terndyke/node/stage/NoticeSender.java
+++ b/src/main/java/terndyke/node/stage/NoticeSender.java
@@ -108,11 +108,11 @@
     }
 
     /**
-     * True at once if no call is out. Otherwise calls leave at intervals, so that they are not used up by a notice or two each. Where as many
-     * are out as may be, one is given up.
+     * True at once if no call is out. Otherwise calls leave at intervals, so that they are not used up by a notice or two each; so they do while
+     * no connection can be opened, since each unanswered call costs one. Where as many are out as may be, one is given up.
      */
     private boolean mayStartCall(long now) {
-        if (callsInFlight.isEmpty()) {
+        if (callsInFlight.isEmpty() && !platform.isConnectFailing()) {
             return true;
         }
         boolean full = callsInFlight.size() >= limits.maxNoticeCalls();
