--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -19,6 +19,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -118,9 +119,9 @@
         }
     }
 
-    private ServerSocket listen() throws IOException {
+    private ServerSocket listen(int backlog) throws IOException {
         ServerSocket server = new ServerSocket();
-        server.bind(new InetSocketAddress("127.0.0.1", 0), 256);
+        server.bind(new InetSocketAddress("127.0.0.1", 0), backlog);
         servers.add(server);
         return server;
     }
@@ -237,18 +238,55 @@
         volatile long workMillis;
         private final ThreadLocal<String> answerHeaders = ThreadLocal.withInitial(() -> "");
 
+        private final CountDownLatch reachable = new CountDownLatch(1);
+        private final List<Socket> fillers = new ArrayList<>(); // what keeps the queue of an unreachable endpoint full
+
         Endpoint(String name, long workMillis) throws IOException {
+            this(name, workMillis, true);
+        }
+
+        /** An endpoint whose machine has vanished if it is not reachable: connections to it never come up, until {@link #appear}. */
+        Endpoint(String name, long workMillis, boolean reachableNow) throws IOException {
             this.name = name;
             this.workMillis = workMillis;
-            ServerSocket server = listen();
+            ServerSocket server = listen(reachableNow ? 256 : 1);
             port = server.getLocalPort();
             behaviour = (endpoint, request) -> {
                 Thread.sleep(this.workMillis);
                 return 200;
             };
+            if (reachableNow) {
+                reachable.countDown();
+            } else {
+                fillQueue();
+            }
             daemon("endpoint " + name, () -> accept(server));
         }
 
+        /** Nobody accepts here: once the queue of connections is full, the system leaves the others unanswered. */
+        private void fillQueue() throws IOException {
+            for (int i = 0; i < 16; i++) {
+                Socket filler = new Socket();
+                try {
+                    filler.connect(new InetSocketAddress("127.0.0.1", port), 300);
+                    fillers.add(filler);
+                } catch (java.net.SocketTimeoutException e) {
+                    filler.close();
+                    return;
+                }
+            }
+            throw new IOException("the queue of connections does not fill up");
+        }
+
+        /** The machine is back. */
+        void appear() throws IOException {
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+            note("ENDPOINT " + name + " is reachable");
+            reachable.countDown();
+        }
+
         String address() {
             return "127.0.0.1:" + port;
         }
@@ -258,6 +296,11 @@
         }
 
         private void accept(ServerSocket server) {
+            try {
+                reachable.await();
+            } catch (InterruptedException e) {
+                return;
+            }
             while (!server.isClosed()) {
                 try {
                     Socket socket = server.accept();
@@ -335,7 +378,7 @@
                 targets.put(target.uid(), target);
                 changedAt.put(target.uid(), revision);
             });
-            ServerSocket server = listen();
+            ServerSocket server = listen(256);
             port = server.getLocalPort();
             daemon("platform", () -> {
                 while (!server.isClosed()) {
