Review case 9: SIGHUP to a node that is being started ends it

The handler is set only once the virtual machine runs; before, SIGHUP ends the process with status 129.

--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -507,6 +507,12 @@
         }
 
         void start() throws Exception {
+            launch();
+            awaitReady();
+        }
+
+        /** Starts the process and returns at once. */
+        void launch() throws Exception {
             String deployFile = Files.readString(root.resolve("deploy/balancer.toml"));
             Matcher matcher = Pattern.compile("(?ms)^run = (\"\"\"(.*?)\"\"\"|\"(.*?)\"$)").matcher(deployFile);
             if (!matcher.find()) {
@@ -518,13 +524,15 @@
             builder.environment().put("NODE_STATE", state.toString());
             builder.environment().put("NODE_NAME", "n0");
             builder.environment().put("NODE_LISTEN", "127.0.0.1:" + port);
-            Path log = folder.resolve("node-" + ++starts + ".log");
-            builder.redirectOutput(log.toFile());
+            builder.redirectOutput(folder.resolve("node-" + ++starts + ".log").toFile());
             process = builder.start();
             note("NODE  start " + starts + " with the run command of the deploy file");
+        }
+
+        void awaitReady() throws Exception {
             await("the node is ready", 30_000, () -> {
                 if (!process.isAlive()) {
-                    throw new IllegalStateException("the node ended: " + Files.readString(log));
+                    throw new IllegalStateException("the node ended: " + log());
                 }
                 return healthStatus() == 200;
             });
@@ -542,6 +550,11 @@
             }
         }
 
+        /** True once the shell has become the program that the run command names. */
+        boolean isProgramRunning() {
+            return process.info().command().map(command -> command.endsWith("java")).orElse(false);
+        }
+
         boolean isAlive() {
             return process != null && process.isAlive();
         }
