Review cases 6, 7, 9: an old list sends messages to another partner's endpoint

Case 7 is new: after discovery has moved, an older whole list is taken for the present one, and all 12 bookings go to the endpoint that has taken over an address.

--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -363,12 +363,13 @@
     final class Platform {
         final int port;
         final Map<String, String> notices = new ConcurrentHashMap<>();
-        final List<String> toldAtLeast = new CopyOnWriteArrayList<>();
         volatile boolean silent; // discovery is down: the agent answers nothing about the list, but still takes notices
         volatile boolean indented;
         volatile long toldRevision; // the latest revision that an answer has carried
         volatile long toldAt;
         private volatile long revision = 41;
+        private final ServerSocket server;
+        private final List<Socket> connections = new CopyOnWriteArrayList<>();
         private final Map<String, Target> targets = new TreeMap<>();
         private final Map<String, Long> changedAt = new TreeMap<>();
         private final Pattern noticePattern = Pattern.compile("\"ref\":\"([^\"]*)\",\"result\":\"([^\"]*)\"");
@@ -378,13 +379,14 @@
                 targets.put(target.uid(), target);
                 changedAt.put(target.uid(), revision);
             });
-            ServerSocket server = listen(256);
+            server = listen(256);
             port = server.getLocalPort();
             daemon("platform", () -> {
                 while (!server.isClosed()) {
                     try {
                         Socket socket = server.accept();
                         socket.setTcpNoDelay(true);
+                        connections.add(socket);
                         daemon("platform connection", () -> serve(socket));
                     } catch (IOException e) {
                         return;
@@ -397,6 +399,21 @@
             return "127.0.0.1:" + port;
         }
 
+        /** Discovery has moved: this address takes no new connection, and closes the open ones after a while. */
+        void closeAfter(long millis) throws IOException {
+            server.close();
+            daemon("platform closes", () -> {
+                sleepQuietly(millis);
+                for (Socket socket : connections) {
+                    try {
+                        socket.close();
+                    } catch (IOException e) {
+                        // closed all the same
+                    }
+                }
+            });
+        }
+
         synchronized long revision() {
             return revision;
         }
