--- a/review/standin-2/Kit.java
+++ b/review/standin-2/Kit.java
@@ -320,7 +320,8 @@
                         continue;
                     }
                     String id = request.header("Request-Id");
-                    note("CALL  " + name + " got " + id + " whole (" + new String(request.body, StandardCharsets.ISO_8859_1).strip() + ")");
+                    String text = new String(request.body, 0, Math.min(40, request.body.length), StandardCharsets.ISO_8859_1).strip();
+                    note("CALL  " + name + " got " + id + " whole (" + request.body.length + " bytes: " + text + ")");
                     answerHeaders.set("");
                     int index;
                     synchronized (calls) {
