A restarted node requests the list before it sends what it holds

Cause: where the list comes on request, Watch.hasCompletedFirstCall was true at once, so DecisionLoop passed the restored records to the module, which sends in its first turn and requests the list only at the end of it.

Change: DecisionLoop.restore requests the list once at the start, and the first turn waits for that call to be answered or to fail, in both ways of getting lists.

Test: AddressReuseProcessTest failed before (5 of 6 messages at the wrong address) and passes.

--- a/src/main/java/terndyke/node/discovery/Watch.java
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -77,9 +77,9 @@
         return listRequested || !listOnRequest || callInFlight ? dueAt : Long.MAX_VALUE;
     }
 
-    /** True once the first call has been answered or has failed; always true where the list comes on request. */
+    /** True once the first call has been answered or has failed. */
     public boolean hasCompletedFirstCall() {
-        return firstCallCompleted || listOnRequest;
+        return firstCallCompleted;
     }
 
     private void handleFailure(String text) {
--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -150,9 +150,11 @@
     /**
      * Restores the last known list and the unfinished records of the previous run; called before the thread starts. The
      * list may be out of date, and whatever discovery publishes counts as known to the node: the first turn of the
-     * decision module waits until discovery has been asked.
+     * decision module waits until discovery has been asked, also where the list comes on request: the module would request it
+     * only in that turn, after it has sent what was restored.
      */
     public void restore(Event.ListReceived knownList, Collection<TrackedRecord> records) {
+        watch.requestList(now());
         decisionStage.addEvent(knownList);
         for (TrackedRecord record : List.copyOf(records)) {
             counters.add(Counter.RESTORED, record.noticeSettled ? 0 : 1);
--- /dev/null
+++ b/src/test/java/terndyke/AddressReuseProcessTest.java
@@ -0,0 +1,81 @@
+package terndyke;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+import terndyke.RawServer.Request;
+import terndyke.RawServer.Response;
+
+/** An endpoint of another destination takes over the address of one that has gone: no message may reach it there by an older list. */
+class AddressReuseProcessTest {
+    private static final int MESSAGES = 6;
+    private static final long MESSAGE_TIMEOUT_MILLIS = 5_000;
+    private static final long PATIENCE_MILLIS = 8_000;
+
+    private final List<String> callsAtReusedAddress = new CopyOnWriteArrayList<>();
+    private final List<String> callsAtOwnEndpoint = new CopyOnWriteArrayList<>();
+    private final EmulatedDiscovery discovery = new EmulatedDiscovery(41);
+    private volatile boolean responding; // both endpoints keep their calls without an answer until then
+
+    @TempDir
+    Path folder;
+
+    private Response answerCall(Request call, List<String> calls) {
+        calls.add(call.header("Request-Id"));
+        return responding ? Response.complete(ProcessTestSupport.OK) : Response.NO_RESPONSE;
+    }
+
+    private static List<String> submitMessages(TestNodeProcess node) throws Exception {
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < MESSAGES; i++) {
+            ids.add("message-" + i);
+            assertEquals("HTTP/1.1 202 Accepted", node.submit("status", ids.get(i), 0, MESSAGE_TIMEOUT_MILLIS));
+        }
+        return ids;
+    }
+
+    private void awaitCallsAtOwnEndpoint(List<String> ids) throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + PATIENCE_MILLIS * 1_000_000;
+        while (!callsAtOwnEndpoint.containsAll(ids) && System.nanoTime() < deadlineNanos) {
+            Thread.sleep(20);
+        }
+        assertEquals(List.of(), callsAtReusedAddress, "messages sent to an endpoint of another destination");
+        assertTrue(callsAtOwnEndpoint.containsAll(ids), "messages called at their own destination: " + callsAtOwnEndpoint);
+    }
+
+    /** Guards against a restarted node that sends what it holds by the list of its configuration before it has requested the present one. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aRestartedNodeRequestsTheListBeforeItSendsWhatItHolds() throws Exception {
+        try (RawServer reused = new RawServer(call -> answerCall(call, callsAtReusedAddress));
+                RawServer own = new RawServer(call -> answerCall(call, callsAtOwnEndpoint));
+                RawServer platform = new RawServer(discovery::answer)) {
+            discovery.change("s-1", reused.address(), 0, "active");
+            String oldList = discovery.wholeList();
+            List<String> held;
+            try (TestNodeProcess killed = TestNodeProcess.startServing(folder, platform.address(), oldList, true)) {
+                discovery.awaitWritten();
+                held = submitMessages(killed);
+                killed.kill();
+            }
+            discovery.change("s-1", reused.address(), 0, "left");
+            discovery.change("s-2", own.address(), 0, "active");
+            discovery.change("s-9", reused.address(), 1, "active");
+            callsAtReusedAddress.clear();
+            responding = true;
+            try (TestNodeProcess restarted = TestNodeProcess.startServing(folder, platform.address(), oldList, true)) {
+                awaitCallsAtOwnEndpoint(held);
+                restarted.assertCleanExit();
+            }
+        }
+    }
+}
--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -97,9 +97,14 @@
 
     private static Path writeConfiguration(Path folder, String listen, String discovery, int descriptors, String settings)
             throws IOException {
+        return writeConfiguration(folder, listen, discovery, descriptors, settings, "{}");
+    }
+
+    private static Path writeConfiguration(Path folder, String listen, String discovery, int descriptors, String settings,
+            String knownList) throws IOException {
         return Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"listen\":\"" + listen
                 + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"1\",\"limits\":{\"memory_mb\":192,\"sockets\":"
-                + descriptors + ",\"disk_mb\":3},\"known\":{},\"settings\":" + settings + "}");
+                + descriptors + ",\"disk_mb\":3},\"known\":" + knownList + ",\"settings\":" + settings + "}");
     }
 
     /** Starts a node from a shell that runs the given commands first. */
@@ -146,6 +151,14 @@
                 SETTINGS.replace("\"maxOpen\":40", "\"maxOpen\":1000")), listen));
     }
 
+    /** Starts a small node that has the given list in its configuration and gets lists from discovery by push or on request. */
+    static TestNodeProcess startServing(Path folder, String discovery, String knownList, boolean listOnRequest) throws IOException {
+        String listen = freeAddress();
+        String settings = listOnRequest ? SETTINGS.replace("\"discovery\":\"push\"", "\"discovery\":\"ask\"") : SETTINGS;
+        return awaitServing(start(folder, "",
+                writeConfiguration(folder, listen, discovery, SMALL_DESCRIPTORS, settings, knownList), listen));
+    }
+
     private static TestNodeProcess awaitServing(TestNodeProcess node) throws IOException {
         node.awaitLog("serving on");
         return node;
--- a/src/test/java/terndyke/node/DeliveryNodeTest.java
+++ b/src/test/java/terndyke/node/DeliveryNodeTest.java
@@ -650,19 +650,25 @@
         return new DecisionLoop(configuration, reactor, endpointRegistry, recordStore, new NodeClock(), counters, NO_LOG);
     }
 
-    /** Offers records to a decision loop before its first turn and runs it to its end; returns the answer to each client. */
+    /**
+     * Offers records to a decision loop before its first turn, which handles them together once discovery has been asked, and ends it
+     * once all are answered; returns the answer to each client.
+     */
     private List<String> runOneTurn(ClientRequest... requests) throws Exception {
         Counters counters = new Counters();
         Reactor reactor = new Reactor(configuration().limits(), counters, NO_LOG, (threadName, cause) -> { });
-        // with "ask" the loop does not wait for a list from discovery before its first turn
-        DecisionLoop decisionLoop = createDecisionLoop(reactor, counters, configuration(3, 1024).replace("\"push\"", "\"ask\""));
+        DecisionLoop decisionLoop = createDecisionLoop(reactor, counters, configuration(3, 1024));
         reactor.start();
         for (ClientRequest request : requests) {
             assertTrue(decisionLoop.offerRequest(request));
         }
-        decisionLoop.post(new LoopEvent.ShutdownRequested());
         Thread thread = new Thread(decisionLoop);
         thread.start();
+        for (long deadline = System.nanoTime() + TIMEOUT.toNanos(); clientAnswers.size() < requests.length;) {
+            assertTrue(System.nanoTime() < deadline, "answers: " + clientAnswers);
+            Thread.sleep(1);
+        }
+        decisionLoop.post(new LoopEvent.ShutdownRequested());
         thread.join(TIMEOUT.toMillis());
         reactor.close();
         return clientAnswers;
