The list that discovery has told outlives the process

Cause: the list was kept in memory alone. DeliveryNode.start began with the configuration's list, which may be older than what the last run acted on.

A start applies it unless the configuration's list has a higher revision.

Measured: AddressReuseProcessTest, SIGKILL and SIGTERM, push and request, failed in 4 of 4 with the start as it was (6 of 6 messages at the wrong address), and passes in 4 of 4. Beside it 88 tests of the node's parts passed.

--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -64,15 +64,7 @@
         }
         recordStore.startRun(clock.reference());
         EndpointRegistry endpointRegistry = new EndpointRegistry(configuration.zoneNames(), configuration.endpointKinds());
-        List<String> rejectedEntries = new ArrayList<>();
-        Event.ListReceived knownList = new Event.ListReceived(List.of(), true);
-        try {
-            knownList = configuration.knownEndpoints().isEmpty() ? knownList
-                    : endpointRegistry.update(configuration.knownEndpoints(), clock.now(), rejectedEntries);
-        } catch (IOException e) {
-            log.warn("known list: cannot be read, ignored: " + e.getMessage());
-        }
-        rejectedEntries.forEach(text -> log.warn("known list: " + text));
+        Event.ListReceived knownList = applyKnownList(endpointRegistry, recordStore, clock.now());
         reactor = startRetry.run("cannot start the I/O threads", () -> Reactor.open(limits, counters, log, fatalErrorHandler));
         reactor.start();
         decisionLoop = new DecisionLoop(configuration, reactor, endpointRegistry, recordStore, clock, counters, log);
@@ -101,6 +93,26 @@
                 + counters.get(Counters.Counter.RESTORED) + " unfinished records of the previous run");
     }
 
+    /**
+     * Applies the list to act on until discovery has answered: the one that the previous run had, or that of the configuration, if it is
+     * newer. Whatever discovery's first answer is, it replaces the list of the configuration.
+     */
+    private Event.ListReceived applyKnownList(EndpointRegistry endpointRegistry, RecordStore recordStore, long now) {
+        long configuredRevision = EndpointRegistry.revisionOf(configuration.knownEndpoints());
+        Event.ListReceived list = recordStore.restoreEndpointList(endpointRegistry, configuredRevision, now);
+        if (list != null || configuration.knownEndpoints().isEmpty()) {
+            return list != null ? list : new Event.ListReceived(List.of(), true);
+        }
+        List<String> rejectedEntries = new ArrayList<>();
+        try {
+            list = endpointRegistry.update(configuration.knownEndpoints(), now, rejectedEntries);
+        } catch (IOException e) {
+            log.warn("known list: cannot be read, ignored: " + e.getMessage());
+        }
+        rejectedEntries.forEach(text -> log.warn("known list: " + text));
+        return list != null ? list : new Event.ListReceived(List.of(), true);
+    }
+
     private void awaitFirstTurn(long timeoutMicros) throws IOException {
         try {
             decisionLoop.awaitFirstTurn(timeoutMicros);
--- a/src/main/java/terndyke/node/discovery/EndpointRegistry.java
+++ b/src/main/java/terndyke/node/discovery/EndpointRegistry.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -35,6 +36,7 @@
     public static final class Endpoint {
         private final String uid;
         private final long number;
+        private ListEntry toldEntry; // as discovery told it last
         private ListedEndpoint listEntry;
         private ConnectionPool.Peer peer;
         private long goneAt;
@@ -95,24 +97,44 @@
      * is added to the given list.
      */
     public Event.ListReceived update(Map<String, String> fields, long now, List<String> unreadableEntries) throws IOException {
-        long revision;
+        long revision = revisionOf(fields);
         int count;
         try {
-            revision = Long.parseLong(fields.get("rev"));
             count = Integer.parseInt(fields.getOrDefault("targets.count", "0"));
         } catch (NumberFormatException e) {
-            throw new IOException("rev is missing, or rev or the number of targets is not an integer");
+            throw new IOException("the number of targets is not an integer");
+        }
+        if (revision < 0) {
+            throw new IOException("rev is missing or not a whole number");
         }
         List<ListedEndpoint> entries = new ArrayList<>(count);
         for (int i = 0; i < count; i++) {
             try {
-                entries.add(applyEntry(fields, "targets." + i + ".", now, entries));
+                entries.add(applyEntry(readEntry(fields, "targets." + i + "."), now, entries));
             } catch (IllegalArgumentException e) {
                 unreadableEntries.add("entry " + i + ": " + e.getMessage());
             }
         }
+        return finishUpdate(revision, Boolean.parseBoolean(fields.get("all")), entries, now);
+    }
+
+    /** The revision of a list, or -1 if it has none that can be read. */
+    public static long revisionOf(Map<String, String> fields) {
+        String revision = fields.get("rev");
+        return revision == null || !revision.matches("\\d{1,18}") ? -1 : Long.parseLong(revision);
+    }
+
+    /** Applies the list that the previous run had, whole, as if discovery had just sent it. */
+    public Event.ListReceived restore(long revision, Collection<ListEntry> listEntries, long now) {
+        List<ListedEndpoint> entries = new ArrayList<>(listEntries.size());
+        for (ListEntry entry : listEntries) {
+            entries.add(applyEntry(entry, now, entries));
+        }
+        return finishUpdate(revision, true, entries, now);
+    }
+
+    private Event.ListReceived finishUpdate(long revision, boolean complete, List<ListedEndpoint> entries, long now) {
         version = revision;
-        boolean complete = Boolean.parseBoolean(fields.get("all"));
         if (complete) {
             Set<ListedEndpoint> listed = new HashSet<>(entries);
             byNumber.values().stream().filter(endpoint -> !listed.contains(endpoint.listEntry))
@@ -121,6 +143,11 @@
         return new Event.ListReceived(entries, complete);
     }
 
+    /** What discovery has told of the endpoints in a list that has been applied, in the order of the list. */
+    public List<ListEntry> describeEntries(Event.ListReceived list) {
+        return list.entries().stream().map(entry -> byNumber.get(entry.endpoint()).toldEntry.withState(entry.state())).toList();
+    }
+
     private void markGone(Endpoint endpoint, long now) {
         if (goneEndpoints.add(endpoint)) {
             ListedEndpoint previousEntry = endpoint.listEntry;
@@ -167,9 +194,9 @@
         return update(FlatJson.read(json), now, unreadableEntries);
     }
 
-    private ListedEndpoint applyEntry(Map<String, String> fields, String prefix, long now, List<ListedEndpoint> entries) {
+    private ListEntry readEntry(Map<String, String> fields, String prefix) {
         String uid = fields.get(prefix + "uid");
-        InetSocketAddress address = ConnectionPool.parseAddress(fields.get(prefix + "endpoint"));
+        String address = fields.get(prefix + "endpoint");
         EndpointState state = switch (String.valueOf(fields.get(prefix + "state"))) {
             case "active" -> EndpointState.READY;
             case "leaving" -> EndpointState.DRAINING;
@@ -178,35 +205,49 @@
         };
         Endpoint knownEndpoint = uid == null ? null : byUid.get(uid);
         String podGroup = fields.get(prefix + "pod_group");
-        if (knownEndpoint != null && podGroup != null && Integer.parseInt(podGroup) != knownEndpoint.destination()) {
+        int destination = podGroup == null && knownEndpoint != null ? knownEndpoint.destination() : Integer.parseInt(podGroup);
+        boolean addressNeeded = knownEndpoint == null || destination != knownEndpoint.destination() || state == EndpointState.READY;
+        if (uid == null || addressNeeded && ConnectionPool.parseAddress(address) == null) {
+            throw new IllegalArgumentException("uid is missing, or endpoint is not a numeric address with a port");
+        }
+        float rate = Float.parseFloat(fields.getOrDefault(prefix + "capacity_hint", "0"));
+        return new ListEntry(uid, address, nameOf(fields.get(prefix + "az"), zones), nameOf(fields.get(prefix + "model"), kinds),
+                Float.isFinite(rate) ? rate : 0, state, Long.parseLong(fields.getOrDefault(prefix + "boot_ms", "0")), destination);
+    }
+
+    /** The name as the settings have it, the first one where they lack it. */
+    private static String nameOf(String name, List<String> names) {
+        return names.isEmpty() ? "" : names.get(Math.max(0, names.indexOf(name)));
+    }
+
+    private ListedEndpoint applyEntry(ListEntry entry, long now, List<ListedEndpoint> entries) {
+        Endpoint knownEndpoint = byUid.get(entry.uid());
+        if (knownEndpoint != null && entry.destination() != knownEndpoint.destination()) {
             markGone(knownEndpoint, now); // the number stays with the old destination, and the entry gets a new one
             entries.add(knownEndpoint.listEntry);
             knownEndpoint = null;
         }
-        if (uid == null || address == null && (knownEndpoint == null || state == EndpointState.READY)) {
-            throw new IllegalArgumentException("uid is missing, or endpoint is not a numeric address with a port");
-        }
-        int destination = knownEndpoint != null ? knownEndpoint.destination() : Integer.parseInt(podGroup);
-        Endpoint endpoint = knownEndpoint != null ? knownEndpoint : new Endpoint(uid, ++lastNumber);
-        float rate = Float.parseFloat(fields.getOrDefault(prefix + "capacity_hint", "0"));
-        endpoint.listEntry = new ListedEndpoint(endpoint.number, Math.max(0, zones.indexOf(fields.get(prefix + "az"))),
-                Math.max(0, kinds.indexOf(fields.get(prefix + "model"))), Float.isFinite(rate) ? rate : 0, state,
-                Long.parseLong(fields.getOrDefault(prefix + "boot_ms", "0")) * 1000, destination);
+        Endpoint endpoint = knownEndpoint != null ? knownEndpoint : new Endpoint(entry.uid(), ++lastNumber);
+        InetSocketAddress address = ConnectionPool.parseAddress(entry.address());
+        endpoint.toldEntry = address == null ? entry.withAddress(endpoint.toldEntry.address()) : entry;
+        endpoint.listEntry = new ListedEndpoint(endpoint.number, Math.max(0, zones.indexOf(entry.zone())),
+                Math.max(0, kinds.indexOf(entry.kind())), entry.rate(), entry.state(), entry.bootMillis() * 1000,
+                entry.destination());
         ConnectionPool.Peer previousPeer = endpoint.peer;
         boolean peerChanged = address != null && (previousPeer == null || !previousPeer.address().equals(address)
                 || goneEndpoints.contains(endpoint));
         if (previousPeer != null && peerChanged) {
             removedPeers.add(previousPeer);
         }
-        AtomicLong lastRetryAfter = lastRetryAfterByDestination.computeIfAbsent(destination, number -> new AtomicLong());
+        AtomicLong lastRetryAfter = lastRetryAfterByDestination.computeIfAbsent(entry.destination(), number -> new AtomicLong());
         endpoint.peer = peerChanged ? new ConnectionPool.Peer(address, lastRetryAfter) : previousPeer;
         goneEndpoints.remove(endpoint);
-        if (state == EndpointState.GONE) {
+        if (entry.state() == EndpointState.GONE) {
             markGone(endpoint, now);
-        } else if (state == EndpointState.DRAINING) {
+        } else if (entry.state() == EndpointState.DRAINING) {
             drainingPeers.add(endpoint.peer);
         }
-        byUid.put(uid, endpoint);
+        byUid.put(entry.uid(), endpoint);
         byNumber.put(endpoint.number, endpoint);
         return endpoint.listEntry;
     }
--- a/src/main/java/terndyke/node/discovery/Watch.java
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -146,7 +146,7 @@
     }
 
     /** Handles the result of a call. Returns its list, or null if it holds no readable list or its call was given up. */
-    public Event handleResult(long answeredCallNumber, Call.Result result, long now) {
+    public Event.ListReceived handleResult(long answeredCallNumber, Call.Result result, long now) {
         if (!callInFlight || answeredCallNumber != callNumber) {
             return null;
         }
--- a/src/main/java/terndyke/node/journal/JournalEntry.java
+++ b/src/main/java/terndyke/node/journal/JournalEntry.java
@@ -1,6 +1,9 @@
 package terndyke.node.journal;
 
+import java.util.List;
+
 import terndyke.api.Ending;
+import terndyke.node.discovery.ListEntry;
 
 /** An entry of the journal. Times are on the node's clock, in whole microseconds; number is that of the record it is about. */
 public sealed interface JournalEntry {
@@ -33,6 +36,17 @@
         }
     }
 
+    /**
+     * Discovery's list has changed: these entries are new or other than before, or have gone, and the list has the revision. It is
+     * about no record.
+     */
+    record EndpointsListed(long revision, List<ListEntry> entries) implements JournalEntry {
+        @Override
+        public long number() {
+            return 0;
+        }
+    }
+
     /** How a record ended. */
     enum RecordOutcome { DONE, BOUNCED, TERMINATED, WITHDRAWN }
 }
--- a/src/main/java/terndyke/node/journal/JournalEntryCodec.java
+++ b/src/main/java/terndyke/node/journal/JournalEntryCodec.java
@@ -6,8 +6,12 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 
 import terndyke.api.Ending;
+import terndyke.api.ListedEndpoint.EndpointState;
+import terndyke.node.discovery.ListEntry;
 
 /**
  * Converts journal entries to bytes and back: a type byte, the record's number and the fields of the type, big-endian.
@@ -17,6 +21,8 @@
     private static final Ending[] ENDINGS = Ending.values();
     private static final JournalEntry.RecordOutcome[] RECORD_OUTCOMES = JournalEntry.RecordOutcome.values();
 
+    private static final EndpointState[] ENDPOINT_STATES = EndpointState.values();
+
     private JournalEntryCodec() { }
 
     static byte[] encode(JournalEntry entry) {
@@ -65,6 +71,14 @@
             out.writeLong(reference.number());
             writeText(out, reference.clockIdentity());
             out.writeLong(reference.offsetMicros());
+        } else if (entry instanceof JournalEntry.EndpointsListed listed) {
+            out.writeByte(7);
+            out.writeLong(listed.number());
+            out.writeLong(listed.revision());
+            out.writeInt(listed.entries().size());
+            for (ListEntry listEntry : listed.entries()) {
+                writeListEntry(out, listEntry);
+            }
         } else {
             out.writeByte(5);
             out.writeLong(entry.number());
@@ -84,6 +98,7 @@
                     in.readLong());
             case 5 -> new JournalEntry.NoticeAnswered(number);
             case 6 -> new JournalEntry.ClockReference(readText(in), in.readLong());
+            case 7 -> new JournalEntry.EndpointsListed(in.readLong(), readListEntries(in));
             default -> throw new IOException("entry of unknown type " + type);
         };
         if (in.available() > 0) {
@@ -92,6 +107,26 @@
         return entry;
     }
 
+    private static void writeListEntry(DataOutputStream out, ListEntry entry) throws IOException {
+        writeText(out, entry.uid());
+        writeText(out, entry.address());
+        writeText(out, entry.zone());
+        writeText(out, entry.kind());
+        out.writeFloat(entry.rate());
+        out.writeByte(entry.state().ordinal());
+        out.writeLong(entry.bootMillis());
+        out.writeInt(entry.destination());
+    }
+
+    private static List<ListEntry> readListEntries(DataInputStream in) throws IOException {
+        List<ListEntry> entries = new ArrayList<>();
+        for (int remaining = in.readInt(); remaining > 0; remaining--) {
+            entries.add(new ListEntry(readText(in), readText(in), readText(in), readText(in), in.readFloat(),
+                    ENDPOINT_STATES[in.readUnsignedByte() % ENDPOINT_STATES.length], in.readLong(), in.readInt()));
+        }
+        return entries;
+    }
+
     private static void writeText(DataOutputStream out, String text) throws IOException {
         byte[] bytes = text == null ? null : text.getBytes(StandardCharsets.UTF_8);
         out.writeInt(bytes == null ? -1 : bytes.length);
--- a/src/main/java/terndyke/node/stage/DecisionLoop.java
+++ b/src/main/java/terndyke/node/stage/DecisionLoop.java
@@ -345,13 +345,9 @@
         } else if (event instanceof LoopEvent.NoticeCallCompleted noticeCallCompleted) {
             notificationStage.handleNoticeResult(noticeCallCompleted, now);
         } else if (event instanceof LoopEvent.WatchCompleted watchCompleted) {
-            Event listEvent = watch.handleResult(watchCompleted.callNumber(), watchCompleted.result(), now);
-            if (listEvent != null) {
-                counters.add(Counter.LISTS_TOLD);
-                log.trace(now, "list", ((Event.ListReceived) listEvent).entries().size());
-                decisionStage.addEvent(listEvent);
-                endpointRegistry.pollRemovedPeers().forEach(connectionPool::removePeer);
-                endpointRegistry.pollDrainingPeers().forEach(connectionPool::cancelUnstartedCalls);
+            Event.ListReceived list = watch.handleResult(watchCompleted.callNumber(), watchCompleted.result(), now);
+            if (list != null) {
+                handleList(list, now);
             }
         } else if (event instanceof LoopEvent.DiscoveryAddressChanged addressChanged) {
             watch.changeDiscoveryAddress(addressChanged.address());
@@ -366,6 +362,15 @@
         }
     }
 
+    private void handleList(Event.ListReceived list, long now) {
+        counters.add(Counter.LISTS_TOLD);
+        log.trace(now, "list", list.entries().size());
+        decisionStage.addEvent(list);
+        endpointRegistry.pollRemovedPeers().forEach(connectionPool::removePeer);
+        endpointRegistry.pollDrainingPeers().forEach(connectionPool::cancelUnstartedCalls);
+        recordStore.journalEndpointList(endpointRegistry.version(), list.complete(), endpointRegistry.describeEntries(list));
+    }
+
     /**
      * Admits a request as a new record, or answers it. If a record with the same id was admitted earlier in this turn, the
      * second request is refused, as it would be if the first record were in the journal. If the two requests differ, it is
--- a/src/main/java/terndyke/node/stage/RecordStore.java
+++ b/src/main/java/terndyke/node/stage/RecordStore.java
@@ -11,10 +11,13 @@
 import java.util.Map;
 
 import terndyke.api.Ending;
+import terndyke.api.Event;
 import terndyke.node.Counters;
 import terndyke.node.Counters.Counter;
 import terndyke.node.Limits;
 import terndyke.node.NodeLog;
+import terndyke.node.discovery.EndpointRegistry;
+import terndyke.node.discovery.ListEntry;
 import terndyke.node.journal.JournalEntry;
 import terndyke.node.journal.Journal;
 
@@ -35,6 +38,7 @@
     private final Map<Long, TrackedRecord> recordsByNumber = new LinkedHashMap<>();
     private final Map<String, TrackedRecord> recordsById = new HashMap<>();
     private final Deque<TrackedRecord> endedRecords = new ArrayDeque<>(); // oldest end first
+    private final StoredEndpointList endpointList = new StoredEndpointList();
     private JournalEntry.ClockReference clockReference; // of the times in the journal's last entries; null if it has none
     private int heldCount;
     private long liveBytes; // approximate number of bytes that a compaction would keep
@@ -57,6 +61,8 @@
             TrackedRecord record = recordsByNumber.get(entry.number());
             if (entry instanceof JournalEntry.ClockReference reference) {
                 changeClock(reference);
+            } else if (entry instanceof JournalEntry.EndpointsListed listed) {
+                applyList(listed);
             } else if (entry instanceof JournalEntry.RecordAccepted accepted && record == null) {
                 index(new TrackedRecord(accepted, false, false, null));
             } else if (record == null) {
@@ -81,6 +87,26 @@
         return recordsByNumber.values();
     }
 
+    private void applyList(JournalEntry.EndpointsListed change) {
+        liveBytes -= endpointList.storedBytes();
+        endpointList.apply(change);
+        liveBytes += endpointList.storedBytes();
+    }
+
+    /** Applies the endpoint list of the previous run to the registry; null if there is none as new as the given revision. */
+    public Event.ListReceived restoreEndpointList(EndpointRegistry endpointRegistry, long minRevision, long now) {
+        return endpointList.isEmpty() || endpointList.revision() < minRevision ? null
+                : endpointRegistry.restore(endpointList.revision(), endpointList.entries(), now);
+    }
+
+    /** Journals what a list that discovery has told changes, for the next run. */
+    void journalEndpointList(long revision, boolean complete, List<ListEntry> entries) {
+        for (JournalEntry.EndpointsListed change : endpointList.changesTo(revision, complete, entries)) {
+            applyList(change);
+            appendEnd(change);
+        }
+    }
+
     /** Shots from before are on another clock: nobody knows how long ago they were fired, so none of them may be repeated for it. */
     private void changeClock(JournalEntry.ClockReference reference) {
         if (reference.equals(clockReference)) {
@@ -271,6 +297,7 @@
         if (clockReference != null) {
             entries.add(clockReference);
         }
+        entries.addAll(endpointList.toJournalEntries());
         for (TrackedRecord record : recordsByNumber.values()) {
             JournalEntry.RecordAccepted accepted = record.entry;
             long number = accepted.number();
--- a/src/test/java/terndyke/AddressReuseProcessTest.java
+++ b/src/test/java/terndyke/AddressReuseProcessTest.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import terndyke.RawServer.Request;
 import terndyke.RawServer.Response;
@@ -34,6 +36,13 @@
         return responding ? Response.complete(ProcessTestSupport.OK) : Response.NO_RESPONSE;
     }
 
+    /** Another destination takes over the address, and this one gets an endpoint elsewhere. */
+    private void moveDestination(RawServer reused, RawServer own) {
+        discovery.change("s-1", reused.address(), 0, "left");
+        discovery.change("s-2", own.address(), 0, "active");
+        discovery.change("s-9", reused.address(), 1, "active");
+    }
+
     private static List<String> submitMessages(TestNodeProcess node) throws Exception {
         List<String> ids = new ArrayList<>();
         for (int i = 0; i < MESSAGES; i++) {
@@ -67,9 +76,7 @@
                 held = submitMessages(killed);
                 killed.kill();
             }
-            discovery.change("s-1", reused.address(), 0, "left");
-            discovery.change("s-2", own.address(), 0, "active");
-            discovery.change("s-9", reused.address(), 1, "active");
+            moveDestination(reused, own);
             callsAtReusedAddress.clear();
             responding = true;
             try (TestNodeProcess restarted = TestNodeProcess.startServing(folder, platform.address(), oldList, true)) {
@@ -78,4 +85,39 @@
             }
         }
     }
+
+    /**
+     * Guards against a node that was told that an address has another destination's endpoint, and after a kill goes back to the list of its
+     * configuration, since discovery is silent then.
+     */
+    @ParameterizedTest
+    @CsvSource({"false, true", "false, false", "true, true", "true, false"})
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aRestartedNodeKeepsToTheListThatItWasToldWhileDiscoveryIsSilent(boolean listOnRequest, boolean killed) throws Exception {
+        try (RawServer reused = new RawServer(call -> answerCall(call, callsAtReusedAddress));
+                RawServer own = new RawServer(call -> answerCall(call, callsAtOwnEndpoint));
+                RawServer platform = new RawServer(discovery::answer)) {
+            discovery.change("s-1", reused.address(), 0, "active");
+            String oldList = discovery.wholeList();
+            List<String> held;
+            try (TestNodeProcess first = TestNodeProcess.startServing(folder, platform.address(), oldList, listOnRequest)) {
+                discovery.awaitWritten();
+                moveDestination(reused, own);
+                discovery.awaitWritten();
+                held = submitMessages(first);
+                discovery.setSilent(true);
+                if (killed) {
+                    first.kill();
+                } else {
+                    first.terminate();
+                }
+            }
+            callsAtOwnEndpoint.clear();
+            responding = true;
+            try (TestNodeProcess restarted = TestNodeProcess.startServing(folder, platform.address(), oldList, listOnRequest)) {
+                awaitCallsAtOwnEndpoint(held);
+                restarted.assertCleanExit();
+            }
+        }
+    }
 }
--- a/src/test/java/terndyke/node/journal/JournalTest.java
+++ b/src/test/java/terndyke/node/journal/JournalTest.java
@@ -18,7 +18,9 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import terndyke.api.Ending;
+import terndyke.api.ListedEndpoint.EndpointState;
 import terndyke.node.NodeLog;
+import terndyke.node.discovery.ListEntry;
 
 /** Guards against entries lost or misread after truncation, damage, a full journal or an unfinished compaction. */
 class JournalTest {
@@ -26,7 +28,9 @@
     private static final List<JournalEntry> ENTRIES = List.of(
             new JournalEntry.RecordAccepted(7, "id-\u00e9", 1, 2, 3, 4, "mark", 5, 6, new byte[] {0, -1, 9}),
             new JournalEntry.ShotFired(7, 0, "s-1", 1, 8), new JournalEntry.ShotEnded(7, 0, Ending.RESET),
-            new JournalEntry.RecordEnded(7, JournalEntry.RecordOutcome.BOUNCED, 500), new JournalEntry.NoticeAnswered(7));
+            new JournalEntry.RecordEnded(7, JournalEntry.RecordOutcome.BOUNCED, 500), new JournalEntry.NoticeAnswered(7),
+            new JournalEntry.EndpointsListed(44, List.of(
+                    new ListEntry("s-1", "127.0.0.1:1", "east", "a", 7.5f, EndpointState.READY, 12, 3))));
 
     @TempDir
     Path folder;
@@ -106,7 +110,7 @@
         Files.write(folder.resolve("journal"), journalBytes);
         List<JournalEntry> entries = new ArrayList<>();
         openJournal(1 << 20, entries).close();
-        assertEquals(List.of("RecordAccepted", "ShotEnded", "RecordEnded", "NoticeAnswered"), typeNames(entries));
+        assertEquals(List.of("RecordAccepted", "ShotEnded", "RecordEnded", "NoticeAnswered", "EndpointsListed"), typeNames(entries));
     }
 
     @Test
