A list with a lower revision than the one in use is ignored

Cause: EndpointRegistry.update applied each list, whatever its revision. Excluded: a late answer of the old call, which its number rejects.

Change: OutdatedListFilter. Watch ignores an older list and goes on from the revision that it knows; after 4 s with nothing newer it asks for the whole list and applies it, so that revisions that begin anew are followed within 6 s.

--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -106,6 +106,7 @@
         List<String> rejectedEntries = new ArrayList<>();
         try {
             list = endpointRegistry.update(configuration.knownEndpoints(), now, rejectedEntries);
+            endpointRegistry.forgetRevision();
         } catch (IOException e) {
             log.warn("known list: cannot be read, ignored: " + e.getMessage());
         }
--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -19,7 +19,7 @@
         long idleClientEvictionMicros,
         long silentClientTimeoutMicros, long silentClientEvictionMicros,
         int maxDiscardedBodyBytes, long clientResponseTimeoutMicros, long maxAdmissionDelayMicros,
-        long watchWaitMicros, long watchSlackMicros, int maxWatchTimeoutMultiplier, long retryDelayMicros,
+        long watchWaitMicros, long watchSlackMicros, int maxWatchTimeoutMultiplier, long outdatedListHoldMicros, long retryDelayMicros,
         long responseTimeoutMicros, long probeTimeoutMicros, long journalFailureDelayMicros,
         long maxRecordTimeoutMicros, long maxPollWaitMicros, long selectIntervalMicros, long sweepIntervalMicros,
         long endedRecordRetentionMicros,
@@ -34,6 +34,7 @@
     private static final int FEW_READY_NOTICE_CONNECTIONS = 4; // where descriptors are few
     private static final int FEW_DESCRIPTORS = 512;
     private static final int OTHER_PLATFORM_CONNECTIONS = 10; // calls with notices, the list
+    private static final long OUTDATED_LIST_HOLD_MICROS = 4_000_000; // then what a new address of discovery tells counts as known
     private static final int REQUEST_MEMORY_DIVISOR = 6; // of the heap: requests on their way to the decision thread
     private static final int RESPONSE_MEMORY_DIVISOR = 12; // of the heap: responses of endpoints and the platform
     private static final int RECORD_MEMORY_DIVISOR = 5; // of the heap: records held
@@ -69,7 +70,7 @@
                 connectTimeout, idleTimeout <= 0 ? 0 : idleTimeout * 4 / 5,
                 50_000, 250_000, 2_000_000, 60_000_000, 30_000, 50_000, 100_000, 1_000_000,
                 2_000_000, 2_600_000, 3_000_000, 2_000_000, 2_100_000, 50_000, 8 << 20, 400_000, 350_000,
-                2_000_000, 700_000, 3, 200_000, 1_000_000, 1_500_000, 1_000_000,
+                2_000_000, 700_000, 3, OUTDATED_LIST_HOLD_MICROS, 200_000, 1_000_000, 1_500_000, 1_000_000,
                 86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
                 60_000_000, 1024, 10_000_000, 20_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000,
                 20_000, 50_000, 100_000, 1_000_000, 300_000, 300_000, 25_000, 8, 40_000, 150_000, readyNoticeConnections, 1);
--- a/src/main/java/terndyke/node/discovery/EndpointRegistry.java
+++ b/src/main/java/terndyke/node/discovery/EndpointRegistry.java
@@ -115,7 +115,7 @@
                 unreadableEntries.add("entry " + i + ": " + e.getMessage());
             }
         }
-        return finishUpdate(revision, Boolean.parseBoolean(fields.get("all")), entries, now);
+        return finishUpdate(revision, isComplete(fields), entries, now);
     }
 
     /** The revision of a list, or -1 if it has none that can be read. */
@@ -124,6 +124,16 @@
         return revision == null || !revision.matches("\\d{1,18}") ? -1 : Long.parseLong(revision);
     }
 
+    /** True for a whole list, false for changes. */
+    static boolean isComplete(Map<String, String> fields) {
+        return Boolean.parseBoolean(fields.get("all"));
+    }
+
+    /** The list applied last was only one to begin with: whatever discovery sends first replaces it, also with a lower revision. */
+    public void forgetRevision() {
+        version = 0;
+    }
+
     /** Applies the list that the previous run had, whole, as if discovery had just sent it. */
     public Event.ListReceived restore(long revision, Collection<ListEntry> listEntries, long now) {
         List<ListedEndpoint> entries = new ArrayList<>(listEntries.size());
--- a/src/main/java/terndyke/node/discovery/Watch.java
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -4,10 +4,12 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.function.BiConsumer;
 
 import terndyke.api.Event;
+import terndyke.node.FlatJson;
 import terndyke.node.Limits;
 import terndyke.node.NodeLog;
 import terndyke.node.http.Call;
@@ -44,6 +46,7 @@
     private boolean failureUnreported;
     private boolean firstCallCompleted;
     private int consecutiveFailures;
+    private final OutdatedListFilter outdatedListFilter;
     private final Random random; // spreads the retries of nodes whose calls failed at the same time
 
     public Watch(Limits limits, InetSocketAddress discovery, EndpointRegistry endpointRegistry, ConnectionPool connectionPool,
@@ -51,6 +54,7 @@
         this.listOnRequest = listOnRequest;
         this.random = random;
         this.limits = limits;
+        outdatedListFilter = new OutdatedListFilter(limits.outdatedListHoldMicros());
         this.discovery = ConnectionPool.Peer.forPlatform(discovery, limits.readyWatchConnections());
         this.endpointRegistry = endpointRegistry;
         this.connectionPool = connectionPool;
@@ -128,24 +132,29 @@
             }
             connectionPool.removePeer(discovery);
             discovery = ConnectionPool.Peer.forPlatform(address, limits.readyWatchConnections());
+            outdatedListFilter.reset();
             fullListNeeded = true;
             dueAt = 0;
         }
     }
 
     private void startCall(long now) {
+        long waitMicros = Math.min(limits.watchWaitMicros(), Math.max(0, outdatedListFilter.holdUntil() - now));
         String path = "/catalog/members" + (fullListNeeded ? ""
-                : "?after=" + endpointRegistry.version() + "&wait_ms=" + limits.watchWaitMicros() / 1000);
+                : "?after=" + endpointRegistry.version() + "&wait_ms=" + waitMicros / 1000);
         long startedCallNumber = ++callNumber;
         connection = connectionPool.startCall(discovery,
                 new Call("GET", path, new String[] {"Host", discovery.hostHeader()}, EMPTY_BODY), now,
                 result -> resultListener.accept(startedCallNumber, result));
         callInFlight = connection != null;
         dueAt = now + (!callInFlight ? limits.retryDelayMicros() : fullListNeeded ? fullListTimeout()
-                : limits.watchWaitMicros() + limits.watchSlackMicros());
+                : waitMicros + limits.watchSlackMicros());
     }
 
-    /** Handles the result of a call. Returns its list, or null if it holds no readable list or its call was given up. */
+    /**
+     * Handles the result of a call. Returns its list, or null if it holds no readable list, or only an older one than the one in use, or
+     * if its call was given up.
+     */
     public Event.ListReceived handleResult(long answeredCallNumber, Call.Result result, long now) {
         if (!callInFlight || answeredCallNumber != callNumber) {
             return null;
@@ -159,15 +168,7 @@
             return null;
         }
         try {
-            List<String> unreadableEntries = new ArrayList<>();
-            Event.ListReceived list = endpointRegistry.update(result.body(), now, unreadableEntries);
-            unreadableEntries.forEach(text -> log.warn("list: " + text));
-            firstCallCompleted = true;
-            consecutiveFailures = 0;
-            fullListNeeded = !unreadableEntries.isEmpty(); // later changes would not repeat the unreadable entries
-            dueAt = fullListNeeded ? now + limits.retryDelayMicros() : now;
-            logStatusChange(true, "discovery answers again");
-            return list;
+            return applyUnlessOutdated(FlatJson.read(result.body()), now);
         } catch (IOException e) {
             fullListNeeded = true;
             handleFailure("list cannot be read: " + e.getMessage());
@@ -176,6 +177,39 @@
         }
     }
 
+    private Event.ListReceived applyUnlessOutdated(Map<String, String> fields, long now) throws IOException {
+        List<String> unreadableEntries = new ArrayList<>();
+        Event.ListReceived list = null;
+        if (isAccepted(fields, now)) {
+            list = endpointRegistry.update(fields, now, unreadableEntries);
+            unreadableEntries.forEach(text -> log.warn("list: " + text));
+            fullListNeeded = !unreadableEntries.isEmpty(); // later changes would not repeat the unreadable entries
+            dueAt = fullListNeeded ? now + limits.retryDelayMicros() : now;
+        } else {
+            fullListNeeded = now >= outdatedListFilter.holdUntil(); // until then only what is newer than the list in use
+            dueAt = fullListNeeded ? now : Math.min(now + retryDelay(), outdatedListFilter.holdUntil());
+        }
+        firstCallCompleted = true;
+        consecutiveFailures = 0;
+        logStatusChange(true, "discovery answers again");
+        return list;
+    }
+
+    private boolean isAccepted(Map<String, String> fields, long now) {
+        long revision = EndpointRegistry.revisionOf(fields);
+        boolean readable = revision >= 0;
+        long previousHoldUntil = outdatedListFilter.holdUntil();
+        boolean accepted = !readable
+                || outdatedListFilter.accepts(revision, endpointRegistry.version(), EndpointRegistry.isComplete(fields), now);
+        if (outdatedListFilter.holdUntil() < previousHoldUntil) {
+            log.warn("list: revision " + revision + " is older than the known one, " + endpointRegistry.version() + "; ignored");
+        } else if (readable && accepted && revision < endpointRegistry.version()) {
+            log.warn("list: revision " + revision + " applied, discovery has told nothing newer; before it was "
+                    + endpointRegistry.version());
+        }
+        return accepted;
+    }
+
     private void logStatusChange(boolean available, String text) {
         if (unavailable == available) {
             unavailable = !available;
--- a/src/test/java/terndyke/AddressReuseProcessTest.java
+++ b/src/test/java/terndyke/AddressReuseProcessTest.java
@@ -1,6 +1,7 @@
 package terndyke;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import terndyke.RawServer.Request;
 import terndyke.RawServer.Response;
@@ -22,6 +24,7 @@
     private static final int MESSAGES = 6;
     private static final long MESSAGE_TIMEOUT_MILLIS = 5_000;
     private static final long PATIENCE_MILLIS = 8_000;
+    private static final long DRAIN_CHECK_MILLIS = 1_000;
 
     private final List<String> callsAtReusedAddress = new CopyOnWriteArrayList<>();
     private final List<String> callsAtOwnEndpoint = new CopyOnWriteArrayList<>();
@@ -37,10 +40,10 @@
     }
 
     /** Another destination takes over the address, and this one gets an endpoint elsewhere. */
-    private void moveDestination(RawServer reused, RawServer own) {
-        discovery.change("s-1", reused.address(), 0, "left");
-        discovery.change("s-2", own.address(), 0, "active");
-        discovery.change("s-9", reused.address(), 1, "active");
+    private static void moveDestination(EmulatedDiscovery agent, RawServer reused, RawServer own) {
+        agent.change("s-1", reused.address(), 0, "left");
+        agent.change("s-2", own.address(), 0, "active");
+        agent.change("s-9", reused.address(), 1, "active");
     }
 
     private static List<String> submitMessages(TestNodeProcess node) throws Exception {
@@ -76,7 +79,7 @@
                 held = submitMessages(killed);
                 killed.kill();
             }
-            moveDestination(reused, own);
+            moveDestination(discovery, reused, own);
             callsAtReusedAddress.clear();
             responding = true;
             try (TestNodeProcess restarted = TestNodeProcess.startServing(folder, platform.address(), oldList, true)) {
@@ -102,7 +105,7 @@
             List<String> held;
             try (TestNodeProcess first = TestNodeProcess.startServing(folder, platform.address(), oldList, listOnRequest)) {
                 discovery.awaitWritten();
-                moveDestination(reused, own);
+                moveDestination(discovery, reused, own);
                 discovery.awaitWritten();
                 held = submitMessages(first);
                 discovery.setSilent(true);
@@ -120,4 +123,38 @@
             }
         }
     }
+
+    /**
+     * Guards against a node that goes back to a list which it has left behind, since discovery has moved to an agent that has not been sent
+     * the rest of it yet.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aListOlderThanTheOneInUseIsIgnoredAfterDiscoveryHasMoved(boolean listOnRequest) throws Exception {
+        responding = true;
+        EmulatedDiscovery laggingDiscovery = new EmulatedDiscovery(41);
+        try (RawServer reused = new RawServer(call -> answerCall(call, callsAtReusedAddress));
+                RawServer own = new RawServer(call -> answerCall(call, callsAtOwnEndpoint));
+                RawServer platform = new RawServer(discovery::answer);
+                RawServer nextPlatform = new RawServer(laggingDiscovery::answer)) {
+            discovery.change("s-1", reused.address(), 0, "active");
+            laggingDiscovery.change("s-1", reused.address(), 0, "active");
+            try (TestNodeProcess node = TestNodeProcess.startServing(folder, platform.address(), "{}", listOnRequest)) {
+                discovery.awaitWritten();
+                moveDestination(discovery, reused, own);
+                discovery.awaitWritten();
+                node.moveDiscovery(folder, nextPlatform.address());
+                laggingDiscovery.awaitWritten();
+                awaitCallsAtOwnEndpoint(submitMessages(node));
+                moveDestination(laggingDiscovery, reused, own);
+                laggingDiscovery.change("s-2", own.address(), 0, "leaving");
+                laggingDiscovery.awaitWritten();
+                assertEquals("HTTP/1.1 202 Accepted", node.submit("status", "after-drain", 0, MESSAGE_TIMEOUT_MILLIS));
+                Thread.sleep(DRAIN_CHECK_MILLIS);
+                assertFalse(callsAtOwnEndpoint.contains("after-drain"), "called at an endpoint that the newer list drains");
+                node.assertCleanExit();
+            }
+        }
+    }
 }
--- a/src/test/java/terndyke/TestNodeProcess.java
+++ b/src/test/java/terndyke/TestNodeProcess.java
@@ -205,6 +205,12 @@
         return process.isAlive();
     }
 
+    /** Writes a configuration with another address of discovery, and has it read. */
+    void moveDiscovery(Path folder, String discovery) throws IOException, InterruptedException {
+        writeConfiguration(folder, address(), discovery);
+        sendHangup();
+    }
+
     void sendHangup() throws IOException, InterruptedException {
         sendSignal("HUP");
     }
--- a/src/test/java/terndyke/node/discovery/WatchTest.java
+++ b/src/test/java/terndyke/node/discovery/WatchTest.java
@@ -271,4 +271,26 @@
             assertTrue(now - startedAt <= 1_000_000, "microseconds until the time-out: " + (now - startedAt));
         }
     }
+
+    /** Guards against a list that goes back to an older revision, and against a node that never follows revisions which begin anew. */
+    @Test
+    void anOlderWholeListIsAppliedOnlyIfNothingNewerComesBeforeChangesCountAsKnown() throws Exception {
+        watch.runDueActions(now);
+        awaitRequestPath();
+        assertTrue(answer(EMPTY_LIST_JSON));
+        long firstOutdatedAt = now;
+        boolean applied = false;
+        while (!applied) {
+            watch.runDueActions(now);
+            String path = awaitRequestPath();
+            now += path.contains("wait_ms=") ? 1_000 * Long.parseLong(path.substring(path.indexOf("wait_ms=") + 8)) : 0;
+            applied = answer("{\"rev\":3,\"all\":" + !path.contains("after=") + ",\"targets\":[]}");
+            assertTrue(applied || !path.contains("after=") || path.contains("after=7&"), path);
+            now = Math.max(now, watch.dueAt());
+        }
+        assertTrue(now - firstOutdatedAt >= 4_000_000, "applied after " + (now - firstOutdatedAt) + " microseconds");
+        assertTrue(now - firstOutdatedAt <= CHANGE_DEADLINE_MICROS, "applied after " + (now - firstOutdatedAt) + " microseconds");
+        watch.runDueActions(now);
+        assertTrue(awaitRequestPath().contains("after=3&"));
+    }
 }
