A try to connect that follows a local failure does not blame the endpoint

Callers saw: after a start without sockets, a message ended with a notice though its endpoint was healthy. FaultyStartProcessTest failed in 4 of 7 runs since a start has the list of the last run and so calls endpoints at once.

Cause: ConnectAttempt.cancelled reported "no answer in time" for a try that was pending at the deadline, though it had begun only 50 ms before, after a lack of sockets. Evidence: the log shows ENFILE on each try, then that line and "suspect: failed calls: 2 of 2".

Change: such an attempt ends as a local failure, so the call counts as not sent.

--- a/src/main/java/terndyke/node/http/ConnectAttempt.java
+++ b/src/main/java/terndyke/node/http/ConnectAttempt.java
@@ -115,9 +115,16 @@
         }
     }
 
+    /** A last try that began only after a local failure had no time that would tell anything about the other side. */
     @Override
     public synchronized void cancelled() {
-        end(timedOut ? Failure.REMOTE : Failure.CANCELLED, timedOut ? "no answer in time" : "cancelled");
+        if (!timedOut) {
+            end(Failure.CANCELLED, "cancelled");
+        } else if (localFailure != null) {
+            end(Failure.LOCAL, localFailure);
+        } else {
+            end(Failure.REMOTE, "no answer in time");
+        }
     }
 
     private void end(Failure failure, String reason) {
