Slow clients give their places to others, and no connection is closed unread

Nothing was in the log.

Cause: past 384 clients ClientConnections.accept returned null and the connection was closed unread; connections in the middle of a request kept their places to their deadline of 2 s.

Change: a request that has been arriving for 0.2 s gives its place to another client while places are short; the listener accepts only what has a place, the rest waits in the system's queue (1,024); a request on a spare place is served and its connection closed, instead of a 503. Counter clients_evicted; refused_crowded goes.

ClientConnectionsTest has the two bounds.

--- a/src/main/java/terndyke/node/Counters.java
+++ b/src/main/java/terndyke/node/Counters.java
@@ -9,7 +9,7 @@
 
     /** The counters; their names in lower case are the metric names. */
     public enum Counter {
-        CLIENT_CONNECTIONS, ACCEPTS_HELD, ACCEPTS_FAILED, TURNED_OUT, REQUESTS_IN, MALFORMED, TOO_LARGE, REFUSED_AT_DOOR, TAKEN, BOUNCED_AT_ONCE,
+        CLIENT_CONNECTIONS, ACCEPTS_HELD, ACCEPTS_FAILED, TURNED_OUT, CLIENTS_EVICTED, REQUESTS_IN, MALFORMED, TOO_LARGE, REFUSED_AT_DOOR, TAKEN, BOUNCED_AT_ONCE,
         REPEATS, WITHDRAWN, RESTORED, SHOTS, CONNECTIONS_OPENED, DONE, ERROR, FULL, TIMED_OUT, NOT_CONNECTED, RESET, RECALLED,
         NOT_SENT, CROWDED, PROBES, ENDED_DONE, ENDED_BOUNCED, ENDED_TERMINATED, NOTICES_SENT, NOTICES_ANSWERED, LISTS_TOLD,
         JOURNAL_ENTRIES, JOURNAL_COMPACTIONS, JOURNAL_REFUSALS, SLOW_TURNS,
@@ -30,7 +30,7 @@
         /** Calls with notices that failed or were not answered in time, and notices answered only after their deadline. */
         NOTICES_UNANSWERED, NOTICES_LATE,
         /** Reasons for which requests were refused before they were admitted. */
-        REFUSED_LEAVING, REFUSED_READ_LATE, REFUSED_NO_ROOM, REFUSED_CROWDED, REFUSED_INBOX_FULL,
+        REFUSED_LEAVING, REFUSED_READ_LATE, REFUSED_NO_ROOM, REFUSED_INBOX_FULL,
         REFUSED_NO_MEMORY,
         /** Connections of the node's own calls that did not come up: by the other side, and for lack of a socket or address here. */
         CONNECTS_FAILED, CONNECTS_FAILED_LOCALLY,
--- a/src/main/java/terndyke/node/http/ClientConnections.java
+++ b/src/main/java/terndyke/node/http/ClientConnections.java
@@ -6,6 +6,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -37,7 +38,9 @@
     private final ByteBuffer discardBuffer;
     private final Set<ClientConnection> idleConnections = new LinkedHashSet<>(); // no request in progress; longest idle first
     private final Queue<ClientConnection> uncountedResponses = new ConcurrentLinkedQueue<>(); // by other threads
+    private final Set<ClientConnection> readingConnections = new LinkedHashSet<>(); // in a request; longest first
     private int openCount;
+    private volatile boolean full; // no other client is accepted until a connection ends
 
     /** Creates the connections' table; the monitor's clock is the given one. */
     ClientConnections(Limits limits, LongSupplier clock, DeadlineMonitor deadlineMonitor, Counters counters) {
@@ -60,27 +63,29 @@
         void refuse();
     }
 
-    /** Accepts a client. At the limit an idle connection is closed for it; returns null if there is none to close. */
+    /**
+     * Accepts a client. At the limit an idle connection is closed for it, or, if there is none, all whose requests come slowly; returns null
+     * if there are none of these either.
+     */
     ClientConnection accept(IOSession session) {
         countResponsesOfOtherThreads();
-        int maxOpen = limits.maxClientConnections() + limits.maxExcessClientConnections();
-        if (openCount >= limits.maxClientConnections()) {
-            evictIdle(limits.silentClientEvictionMicros());
+        if (openCount >= limits.maxClientConnections() && !evictIdle(limits.silentClientEvictionMicros())) {
+            evictSlowRequests();
         }
-        if (openCount >= maxOpen) {
-            evictIdle(limits.silentClientEvictionMicros() / 10); // had more time to send something than the new client
+        if (openCount >= limits.maxOpenClientConnections()) {
+            evictIdle(minSilentMicrosWhenFull()); // had more time to send something than the new client
         }
-        if (openCount >= maxOpen) {
+        if (openCount >= limits.maxOpenClientConnections()) {
             return null;
         }
-        openCount++;
+        changeOpenCount(1);
         ClientConnection connection = new ClientConnection(session);
         connection.markIdle();
         deadlineMonitor.add(connection);
         return connection;
     }
 
-    /** True while more clients are connected than are served: requests are then refused and their connections closed. */
+    /** True while the spare places are in use: then connections are closed after their next response. */
     boolean isOverCapacity() {
         return openCount > limits.maxClientConnections();
     }
@@ -92,7 +97,27 @@
         }
     }
 
-    private void evictIdle(long minSilentMicros) {
+    private void changeOpenCount(int change) {
+        openCount += change;
+        full = openCount >= limits.maxOpenClientConnections();
+    }
+
+    private long minSilentMicrosWhenFull() {
+        return limits.silentClientEvictionMicros() / 10;
+    }
+
+    /** Closes connections for other clients that have been in the middle of a request for longest, down to the limit. */
+    private void evictSlowRequests() {
+        long now = clock.getAsLong();
+        for (ClientConnection connection : List.copyOf(readingConnections)) {
+            if (openCount < limits.maxClientConnections() || now - connection.phaseStartedAt < limits.slowRequestEvictionMicros()) {
+                return;
+            }
+            connection.evict();
+        }
+    }
+
+    private boolean evictIdle(long minSilentMicros) {
         long now = clock.getAsLong();
         ClientConnection evicted = null;
         for (ClientConnection connection : idleConnections) {
@@ -103,8 +128,9 @@
             }
         }
         if (evicted != null) {
-            evicted.close();
+            evicted.evict();
         }
+        return evicted != null;
     }
 
     /** The connection of one client. */
@@ -114,6 +140,7 @@
         private final Queue<Runnable> pendingResponses = new ConcurrentLinkedQueue<>();
         private final long connectedAt = clock.getAsLong();
         private volatile long deadline = DeadlineMonitor.NONE; // by when it is closed, if no input or response comes before
+        private volatile long evictableAt = DeadlineMonitor.NONE; // from when it may be closed for another client
         private long phaseStartedAt; // start of the idle time, or of the request being read
         private boolean readingRequest;
         private boolean requestReceived;
@@ -215,6 +242,23 @@
             phaseStartedAt = clock.getAsLong();
             idleConnections.add(this);
             deadline = phaseStartedAt + (requestReceived ? limits.idleClientTimeoutMicros() : limits.silentClientTimeoutMicros());
+            evictableAt = phaseStartedAt + (requestReceived ? limits.idleClientEvictionMicros() : minSilentMicrosWhenFull());
+        }
+
+        /** Marks that a request is being read. Only one that is not read behind an open request may be given up for another client. */
+        private void markReading(long now) {
+            phaseStartedAt = readingRequest ? phaseStartedAt : now;
+            readingRequest = true;
+            if (unansweredRequests == 0) {
+                readingConnections.add(this);
+                evictableAt = phaseStartedAt + limits.slowRequestEvictionMicros();
+            }
+        }
+
+        private void markNotReading() {
+            readingRequest = false;
+            readingConnections.remove(this);
+            evictableAt = DeadlineMonitor.NONE;
         }
 
         /** Called when input arrives. One deadline applies to the whole request it belongs to, however slowly it arrives. */
@@ -222,16 +266,16 @@
             countResponsesOfOtherThreads();
             long now = clock.getAsLong();
             idleConnections.remove(this);
-            phaseStartedAt = readingRequest ? phaseStartedAt : now;
-            readingRequest = true;
+            markReading(now);
             deadline = Math.min(phaseStartedAt + limits.requestReadTimeoutMicros(),
                     requestReceived ? Long.MAX_VALUE : connectedAt + limits.firstRequestTimeoutMicros());
             closeIfOverdue();
         }
 
+        /** While no other client is accepted, it may be closed for one as soon as that does no harm. */
         @Override
         public long deadline() {
-            return deadline;
+            return full ? Math.min(deadline, evictableAt) : deadline;
         }
 
         /**
@@ -249,11 +293,15 @@
 
         /** Closes the connection if its deadline has passed; returns whether it has. */
         boolean closeIfOverdue() {
-            boolean overdue = deadline <= clock.getAsLong();
+            long now = clock.getAsLong();
+            boolean overdue = deadline <= now;
+            boolean evicted = !overdue && deadline() <= now;
             if (overdue) {
                 close();
+            } else if (evicted) {
+                evict();
             }
-            return overdue;
+            return overdue || evicted;
         }
 
         /** Lets the library call the owner thread as soon as output can be written. */
@@ -297,7 +345,7 @@
             incompleteRequest = null;
             trailerSize.reset();
             memoryAccount.resize(0);
-            readingRequest = false;
+            markNotReading();
             requestReceived = true;
             unansweredRequests++;
             deadline = DeadlineMonitor.NONE; // every complete request is answered, however late
@@ -318,7 +366,7 @@
         boolean suspendReading() {
             if (!readingSuspended && !discarding && isRequestWaitingUnread()) {
                 unreadSince = unreadSince != 0 ? unreadSince : clock.getAsLong();
-                readingRequest = false;
+                markNotReading();
                 readingSuspended = true;
                 deadline = DeadlineMonitor.NONE;
                 session.setEvent(SelectionKey.OP_WRITE); // for a response whose thread has not seen that reading is suspended
@@ -389,11 +437,17 @@
         private void countResponse() {
             unansweredRequests = Math.max(0, unansweredRequests - 1);
             if (unansweredRequests == 0 && !closed) {
-                readingRequest = false;
+                markNotReading();
                 markIdle();
             }
         }
 
+        /** Closes the connection for another client. */
+        private void evict() {
+            counters.add(Counter.CLIENTS_EVICTED);
+            close();
+        }
+
         /** Closes the connection gracefully: nothing more is read, but what has been written is still sent. */
         void close() {
             session.close(CloseMode.GRACEFUL);
@@ -402,13 +456,14 @@
 
         /** Called when the connection is closed; may be called more than once. */
         void markClosed() {
-            openCount -= closed ? 0 : 1;
+            changeOpenCount(closed ? 0 : -1);
             closed = true;
             deadline = DeadlineMonitor.NONE;
             deadlineMonitor.remove(this);
             incompleteRequest = null;
             memoryAccount.resize(0);
             idleConnections.remove(this);
+            markNotReading();
         }
     }
 }
--- a/src/main/java/terndyke/node/http/ClientRequestHandler.java
+++ b/src/main/java/terndyke/node/http/ClientRequestHandler.java
@@ -67,9 +67,9 @@
         closing = true;
     }
 
-    /** Creates the handler of one request. */
-    AsyncServerExchangeHandler createExchange(ClientConnections.ClientConnection clientConnection, boolean overCapacity) {
-        return new Exchange(clientConnection, overCapacity);
+    /** Creates the handler of one request, whose connection is closed after its response if others wait for its place. */
+    AsyncServerExchangeHandler createExchange(ClientConnections.ClientConnection clientConnection, boolean closeAfterResponse) {
+        return new Exchange(clientConnection, closeAfterResponse);
     }
 
     private final class Exchange implements AsyncServerExchangeHandler, ClientRequest.Responder,
@@ -85,11 +85,11 @@
         private final AtomicBoolean responseSettled = new AtomicBoolean(); // response chosen, or client gone
         private ClientRequest clientRequest;
         private final ClientConnections.ClientConnection clientConnection;
-        private final boolean overCapacity;
+        private final boolean closeAfterResponse;
 
-        Exchange(ClientConnections.ClientConnection clientConnection, boolean overCapacity) {
+        Exchange(ClientConnections.ClientConnection clientConnection, boolean closeAfterResponse) {
             this.clientConnection = clientConnection;
-            this.overCapacity = overCapacity;
+            this.closeAfterResponse = closeAfterResponse;
         }
 
         @Override
@@ -200,9 +200,6 @@
 
         /** Submits the request to the node. Returns the counter of the reason for a refusal, or null if it is accepted. */
         private Counter submitAndGetRefusal() {
-            if (overCapacity) {
-                return Counter.REFUSED_CROWDED;
-            }
             if (clientConnection.unreadMicros() > limits.maxAdmissionDelayMicros()) {
                 return Counter.REFUSED_READ_LATE;
             }
@@ -312,7 +309,7 @@
             if (retryAfterMicros > 0) {
                 response.addHeader("Retry-After", formatSeconds(retryAfterMicros));
             }
-            if (closeConnection || closing || overCapacity) {
+            if (closeConnection || closing || closeAfterResponse) {
                 response.addHeader("Connection", "close");
             }
             responseBody = bodyText == null ? null : ByteBuffer.wrap(bodyText.getBytes(StandardCharsets.UTF_8));
--- a/src/main/java/terndyke/node/http/Reactor.java
+++ b/src/main/java/terndyke/node/http/Reactor.java
@@ -62,7 +62,7 @@
     private final ClientConnections clientConnections;
     private final Http1Config httpConfig;
     private final DefaultHttpResponseWriterFactory responseWriterFactory;
-    private final Semaphore connectionPermits; // one for each client's connection, from accept to close
+    private final Semaphore connectionPermits; // one for each client's connection, from accept to close: others wait for a place, unaccepted
     private final FatalErrorHandler fatalErrorHandler;
     private volatile ClientListener clientListener;
     private volatile ClientRequestHandler requestHandler;
@@ -90,8 +90,7 @@
         requestWriterFactory = new DefaultHttpRequestWriterFactory(httpConfig);
         IOReactorConfig ioConfig = IOReactorConfig.custom().setIoThreadCount(1).setTcpNoDelay(true).setSoTimeout(Timeout.DISABLED)
                 .setSelectInterval(TimeValue.ofMicroseconds(limits.selectIntervalMicros())).build();
-        connectionPermits = new Semaphore(limits.maxClientConnections() + limits.maxExcessClientConnections()
-                + limits.maxPendingConnections());
+        connectionPermits = new Semaphore(limits.maxOpenClientConnections());
         ioReactor = new DefaultConnectingIOReactor(this::createEventHandler, ioConfig, task -> createDaemonThread(task, "terndyke-io"), null,
                 this::logIoError, null, ShutdownCommand.GRACEFUL_IMMEDIATE_CALLBACK);
     }
--- a/src/test/java/terndyke/HostileClients.java
+++ b/src/test/java/terndyke/HostileClients.java
@@ -17,12 +17,14 @@
     private static final int PAUSE_MILLIS = 5; // between two connections of a client
     private static final int LONG_LINE_BYTES = 8_000;
     private static final int MAX_BODY_BYTES = 64 << 10;
+    private static final int SLOW_BYTES = 16;
+    private static final int SLOW_WRITE_INTERVAL_MILLIS = 20;
     private static final int MESSAGES_AT_ONCE = 300;
     private static final String HEAD = "POST /status HTTP/1.1\r\nHost: n0\r\nRequest-Timeout-Ms: 5000\r\nX-Consignee: dest=0\r\n";
 
     /** What the clients send on each connection. */
     enum Misuse {
-        ENDLESS_HEADS, ENDLESS_TRAILERS, INCOMPLETE_BODIES, LARGE_MESSAGES_AT_ONCE, MANY_MESSAGES_AT_ONCE
+        ENDLESS_HEADS, ENDLESS_TRAILERS, INCOMPLETE_BODIES, SLOW_BODIES, LARGE_MESSAGES_AT_ONCE, MANY_MESSAGES_AT_ONCE
     }
 
     private final int port;
@@ -93,6 +95,7 @@
             case ENDLESS_TRAILERS -> sendEndlessLines(out, HEAD + "Request-Id: " + id
                     + "\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n");
             case INCOMPLETE_BODIES -> out.write(Arrays.copyOf(message(id, MAX_BODY_BYTES), MAX_BODY_BYTES));
+            case SLOW_BODIES -> sendSlowly(out, message(id, MAX_BODY_BYTES));
             case LARGE_MESSAGES_AT_ONCE -> out.write(message(id, MAX_BODY_BYTES));
             case MANY_MESSAGES_AT_ONCE -> sendManyMessages(out, id);
             default -> throw new IllegalStateException(misuse.name());
@@ -108,6 +111,13 @@
         }
     }
 
+    private void sendSlowly(OutputStream out, byte[] message) throws IOException {
+        for (int offset = 0; isRunning() && offset + SLOW_BYTES <= message.length; offset += SLOW_BYTES) {
+            out.write(message, offset, SLOW_BYTES);
+            ProcessTestSupport.sleep(SLOW_WRITE_INTERVAL_MILLIS);
+        }
+    }
+
     private static void sendManyMessages(OutputStream out, String id) throws IOException {
         for (int i = 0; i < MESSAGES_AT_ONCE; i++) {
             out.write(message(id + "-" + i, 200));
--- a/src/test/java/terndyke/node/http/ClientConnectionsTest.java
+++ b/src/test/java/terndyke/node/http/ClientConnectionsTest.java
@@ -113,6 +113,37 @@
         assertFalse(closed.contains(idle), "its request is being read");
     }
 
+    /** Guards against clients that take all places by requests that never end; one whose request was read gets its answer. */
+    @Test
+    void requestsThatArriveSlowlyGiveTheirPlacesToOtherClientsAndAnOpenRequestDoesNot() {
+        IOSession answered = createSession();
+        ClientConnections.ClientConnection open = clientConnections.accept(answered);
+        open.onInput();
+        open.onRequestComplete();
+        for (int i = 1; i < limits.maxOpenClientConnections(); i++) {
+            clientConnections.accept(createSession()).onInput();
+        }
+        now += limits.slowRequestEvictionMicros() - 1;
+        assertNull(clientConnections.accept(createSession()), "usual requests may still be arriving");
+        now += 1;
+        assertNotNull(clientConnections.accept(createSession()));
+        assertEquals(limits.maxExcessClientConnections() + 1, closed.size(), "down to the places, less the new client's");
+        assertFalse(closed.contains(answered));
+    }
+
+    @Test
+    void whileNoClientIsAcceptedASlowRequestIsOverdueAsSoonAsItMayBeEvicted() {
+        List<ClientConnections.ClientConnection> slow = new ArrayList<>();
+        for (int i = 0; i < limits.maxOpenClientConnections(); i++) {
+            slow.add(clientConnections.accept(createSession()));
+            slow.get(i).onInput();
+        }
+        assertEquals(now + limits.slowRequestEvictionMicros(), slow.get(0).deadline());
+        now = slow.get(0).deadline();
+        assertTrue(slow.get(0).closeIfOverdue());
+        assertFalse(slow.get(1).closeIfOverdue(), "one place is free again");
+    }
+
     @Test
     void aClientThatSentARequestKeepsItsConnectionForTwoSeconds() {
         IOSession usual = createSession();
