The id of a message that may have run is kept for 30 s past its time

Cause: RecordStore.evictEnded dropped every ended record 1 s after its message's time, and its id was new again. A second one of the class: a message withdrawn while it was out was answered 503 when it came again, a promise that it has not run. Excluded: the client's leaving as such (each such id was answered 200 while its record was there), and entries pushed out by refusals, which make none.

Withdrawn ones get 500.

--- a/src/main/java/terndyke/node/Limits.java
+++ b/src/main/java/terndyke/node/Limits.java
@@ -22,7 +22,7 @@
         long watchWaitMicros, long watchSlackMicros, int maxWatchTimeoutMultiplier, long outdatedListHoldMicros, long retryDelayMicros,
         long responseTimeoutMicros, long probeTimeoutMicros, long journalFailureDelayMicros,
         long maxRecordTimeoutMicros, long maxPollWaitMicros, long selectIntervalMicros, long sweepIntervalMicros,
-        long endedRecordRetentionMicros,
+        long endedRecordRetentionMicros, long runRecordRetentionMicros,
         long goneEndpointRetentionMicros, int maxGoneEndpoints,
         long startTimeoutMicros, long maxStartRetryMicros, long warmUpTimeoutMicros, long shutdownGracePeriodMicros, long minShutdownMicros,
         long finalEventPollMicros, long closeTimeoutMicros,
@@ -30,10 +30,14 @@
         long noticeRetryDelayMicros, int maxNoticeCalls, long noticeCallIntervalMicros, long maxNoticeRepeatMicros, int readyNoticeConnections,
             int readyWatchConnections) {
 
+    /** Journal bytes of a record that has ended, with a shot that may have run. */
+    public static final int ENDED_RECORD_JOURNAL_BYTES = 240;
+
     private static final int READY_NOTICE_CONNECTIONS = 8;
     private static final int FEW_READY_NOTICE_CONNECTIONS = 4; // where descriptors are few
     private static final int FEW_DESCRIPTORS = 512;
     private static final int OTHER_PLATFORM_CONNECTIONS = 10; // calls with notices, the list
+    private static final long RUN_RECORD_RETENTION_MICROS = 30_000_000; // a client may come again with the id of a message that has run
     private static final int SPARE_DESCRIPTORS = 16; // for connections that are being closed
     private static final int LISTEN_BACKLOG = 1024; // clients wait there while all places for connections are taken
     private static final long SLOW_REQUEST_EVICTION_MICROS = 200_000; // longer than the node may be held up between two reads
@@ -67,7 +71,7 @@
         int platformConnections = OTHER_PLATFORM_CONNECTIONS + 2 * readyNoticeConnections; // unused and used ones
         int clientConnections = Math.max(16, Math.min(descriptors - endpointConnections - platformConnections - SPARE_DESCRIPTORS, memoryMb * 2));
         long journalBytes = Math.max(64 << 10, (long) (diskMb * 1_000_000) - (16 << 10));
-        int endedRecords = (int) Math.min(16 * 1024, journalBytes / 8 / 160);
+        int endedRecords = (int) Math.min(16 * 1024, journalBytes / 8 / ENDED_RECORD_JOURNAL_BYTES);
         return new Limits(64 << 10, 2 << 20, 8 << 10, 64, 200, 4 << 10,
                 heapBytes / REQUEST_MEMORY_DIVISOR, heapBytes / RESPONSE_MEMORY_DIVISOR,
                 clientConnections * 7 / 8, clientConnections / 8, LISTEN_BACKLOG, endpointConnections,
@@ -78,7 +82,7 @@
                 50_000, 250_000, 2_000_000, 60_000_000, 30_000, 50_000, 100_000, 1_000_000,
                 2_000_000, 2_600_000, 3_000_000, 2_000_000, 2_100_000, 50_000, SLOW_REQUEST_EVICTION_MICROS, 8 << 20, 400_000, 350_000,
                 2_000_000, 700_000, 3, OUTDATED_LIST_HOLD_MICROS, 200_000, 1_000_000, 1_500_000, 1_000_000,
-                86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000,
+                86_400_000_000L, 100_000, 100_000, 500_000, 1_000_000, RUN_RECORD_RETENTION_MICROS,
                 60_000_000, 1024, 10_000_000, 20_000_000, 300_000, 2_600_000, 1_000_000, 20_000, 200_000,
                 20_000, 50_000, 100_000, 1_000_000, 300_000, 300_000, 25_000, 8, 40_000, 150_000, readyNoticeConnections, 1);
     }
--- a/src/main/java/terndyke/node/stage/AdmissionStage.java
+++ b/src/main/java/terndyke/node/stage/AdmissionStage.java
@@ -79,9 +79,19 @@
         } else {
             switch (knownRecord.outcome) {
                 case DONE -> responder.delivered();
-                case BOUNCED, WITHDRAWN -> responder.refused(knownRecord.retryAfterMicros);
+                case BOUNCED -> responder.refused(knownRecord.retryAfterMicros);
+                case WITHDRAWN -> answerWithdrawn(knownRecord, responder);
                 default -> responder.failed(500);
             }
         }
     }
+
+    /** A refusal promises that the message has not run, which is not known once its client left while it was out. */
+    private static void answerWithdrawn(TrackedRecord knownRecord, ClientRequest.Responder responder) {
+        if (knownRecord.mayHaveRun()) {
+            responder.failed(500);
+        } else {
+            responder.refused(0);
+        }
+    }
 }
--- a/src/main/java/terndyke/node/stage/RecordStore.java
+++ b/src/main/java/terndyke/node/stage/RecordStore.java
@@ -27,7 +27,8 @@
  */
 public final class RecordStore {
     private static final int ENTRY_OVERHEAD_BYTES = 700; // upper bound for a record's entries without its body
-    private static final int ENDED_RECORD_BYTES = 160; // journal bytes of a record that has ended
+    private static final int ENDED_RECORD_BYTES = Limits.ENDED_RECORD_JOURNAL_BYTES;
+    private static final int ENDED_RECORDS_ROOM_DIVISOR = 5; // past this part of the journal, open records go first
     private static final int CLOCK_REFERENCE_BYTES = 256;
     private static final long UNKNOWN_FIRED_AT = 0; // so long ago that every deduplication window is over
 
@@ -254,15 +255,18 @@
     }
 
     /**
-     * Removes ended records whose notice is settled and which have no call in flight, once the given retention time has
-     * passed since their abandon time, or earlier, oldest end first, while there are too many.
+     * Removes ended records whose notice is settled and which have no call in flight, once their retention time has passed since
+     * their abandon time, or earlier, oldest end first, while there are too many. The retention is at least the given one, and longer
+     * for records that may have run, as their ids must not run again; while open records need the room of the journal it is not.
      */
-    void evictEnded(long now, long retentionMicros) {
+    void evictEnded(long now, long minRetentionMicros) {
+        boolean roomShort = liveBytes > limits.maxJournalBytes() / ENDED_RECORDS_ROOM_DIVISOR;
+        long retentionOfRun = roomShort ? minRetentionMicros : Math.max(minRetentionMicros, limits.runRecordRetentionMicros());
         for (int i = endedRecords.size(); i > 0; i--) {
             TrackedRecord record = endedRecords.pollFirst();
-            boolean callInFlight = record.shots.stream().anyMatch(shot -> shot.ending == null && shot.connection != null);
-            if (record.noticeSettled && !callInFlight
-                    && (now > record.entry.abandonAt() + retentionMicros || endedRecords.size() > limits.maxEndedRecords())) {
+            long retentionMicros = record.mayHaveRun() ? retentionOfRun : minRetentionMicros;
+            if (isEvictable(record) && (now > record.entry.abandonAt() + retentionMicros
+                    || endedRecords.size() > limits.maxEndedRecords())) {
                 recordsByNumber.remove(record.entry.number());
                 recordsById.remove(record.entry.id(), record);
                 liveBytes -= ENDED_RECORD_BYTES;
@@ -272,6 +276,10 @@
         }
     }
 
+    private static boolean isEvictable(TrackedRecord record) {
+        return record.noticeSettled && record.shots.stream().noneMatch(shot -> shot.ending == null && shot.connection != null);
+    }
+
     /** Compacts the journal before the entries to come could use up the space that a compaction needs. */
     void compactIfNeeded() {
         if (journalFailing || journal.remainingBytes(liveBytes) < limits.journalReserveBytes()) {
@@ -303,10 +311,12 @@
             long number = accepted.number();
             entries.add(accepted);
             for (TrackedRecord.Shot shot : record.shots) {
-                if (record.isOpen() || shot.ending == null) {
+                boolean needed = record.isOpen() || shot.ending == null
+                        || record.outcome != JournalEntry.RecordOutcome.DONE && shot.mayHaveRun();
+                if (needed) {
                     entries.add(new JournalEntry.ShotFired(number, shot.number, shot.endpointUid, shot.zone, shot.firedAt));
                 }
-                if (record.isOpen() && shot.ending != null) {
+                if (needed && shot.ending != null) {
                     entries.add(new JournalEntry.ShotEnded(number, shot.number, shot.ending));
                 }
             }
--- a/src/main/java/terndyke/node/stage/TrackedRecord.java
+++ b/src/main/java/terndyke/node/stage/TrackedRecord.java
@@ -40,6 +40,11 @@
             this.firedAt = firedAt;
         }
 
+        /** True unless it surely has not run and will not. */
+        boolean mayHaveRun() {
+            return ending == null || !ending.provesNotRun();
+        }
+
         /** The same shot with another time. Only for shots of a previous run, which have no connection. */
         Shot withFiredAt(long otherFiredAt) {
             Shot copy = new Shot(number, endpointNumber, endpointUid, zone, otherFiredAt);
@@ -67,6 +72,11 @@
                 && Arrays.equals(entry.body(), request.body()));
     }
 
+    /** True if the record was delivered, or a shot of it may have run. */
+    boolean mayHaveRun() {
+        return outcome == JournalEntry.RecordOutcome.DONE || shots.stream().anyMatch(Shot::mayHaveRun);
+    }
+
     void dropBody() {
         entry = new JournalEntry.RecordAccepted(entry.number(), entry.id(), entry.grade(), entry.tenant(), entry.key(),
                 entry.destination(), null, entry.acceptedAt(), entry.abandonAt(), new byte[0]);
--- a/src/test/java/terndyke/node/stage/StageTest.java
+++ b/src/test/java/terndyke/node/stage/StageTest.java
@@ -287,6 +287,41 @@
         assertNull(recordStore.findById("r"));
     }
 
+    /** Guards against a promise that a message has not run, and against its id running again, after its client left while it was out. */
+    @Test
+    void aWithdrawnRecordThatMayHaveRunIsNotRefusedAndOutlivesCompactionRestartAndItsTime() throws IOException {
+        TrackedRecord record = addRecord("r");
+        TrackedRecord.Shot shot = new TrackedRecord.Shot(0, 7, "s", 1, NOW_MICROS);
+        record.shots.add(shot);
+        assertTrue(recordStore.journalShot(record, shot));
+        recordStore.endRecord(record, JournalEntry.RecordOutcome.WITHDRAWN, 0);
+        recordStore.endShot(record, shot, Ending.RECALLED);
+        recordStore.compact();
+        RecordStore reopened = reopenStore();
+        reopened.evictEnded(record.entry.abandonAt() + 29_000_000, 1_000_000);
+        assertFalse(new AdmissionStage(limits, counters, endpointRegistry, reopened).admit(createRequest("r", 3, 10, NOW_MICROS), NOW_MICROS));
+        assertEquals(List.of("failed 500"), answers);
+        reopened.evictEnded(record.entry.abandonAt() + 31_000_000, 1_000_000);
+        assertNull(reopened.findById("r"));
+    }
+
+    @Test
+    void anEndedRecordThatHasNotRunIsForgottenSoonerAndOneThatHasWhileOpenRecordsNeedTheRoom() {
+        TrackedRecord untried = addRecord("untried");
+        TrackedRecord delivered = addRecord("delivered");
+        recordStore.endRecord(untried, JournalEntry.RecordOutcome.WITHDRAWN, 0);
+        recordStore.endRecord(delivered, JournalEntry.RecordOutcome.DONE, 0);
+        recordStore.evictEnded(delivered.entry.abandonAt() + 2_000_000, 1_000_000);
+        assertNull(recordStore.findById("untried"));
+        assertEquals(delivered, recordStore.findById("delivered"));
+        int openBodyBytes = (int) (limits.maxJournalBytes() / 5);
+        for (int i = 0; i < 5; i++) {
+            assertTrue(recordStore.tryAdd(intakeStage.createRecord(createRequest("open" + i, 3, openBodyBytes / 5, NOW_MICROS))));
+        }
+        recordStore.evictEnded(delivered.entry.abandonAt() + 2_000_000, 1_000_000);
+        assertNull(recordStore.findById("delivered"));
+    }
+
     @Test
     void anAnswerIsMappedToTheEndingThatTheProtocolDefines() {
         assertEquals(Ending.DONE, SendStage.toEnding(new Call.Result(200, null, 0, false, null, null)));
