A process that started later at an address is not taken for the one before it

Cause: EndpointRegistry kept an endpoint at its address until discovery took it back, and a newer boot_ms of the same uid changed nothing, so that connections of the ended process stayed in use. Excluded: connections that pass between peers.

Change: of several endpoints at one address only those with the latest boot_ms are there, the others count as gone until that one leaves; a newer boot_ms makes a new peer. Endpoints with equal boot_ms share their address as before.

--- a/src/main/java/terndyke/node/discovery/EndpointRegistry.java
+++ b/src/main/java/terndyke/node/discovery/EndpointRegistry.java
@@ -46,6 +46,10 @@
             this.number = number;
         }
 
+        private boolean isToldAsPresent() {
+            return toldEntry.state() != EndpointState.GONE;
+        }
+
         public String uid() {
             return uid;
         }
@@ -148,8 +152,9 @@
         if (complete) {
             Set<ListedEndpoint> listed = new HashSet<>(entries);
             byNumber.values().stream().filter(endpoint -> !listed.contains(endpoint.listEntry))
-                    .forEach(endpoint -> markGone(endpoint, now));
+                    .forEach(endpoint -> markLeft(endpoint, now));
         }
+        resolveSharedAddresses(entries, now);
         return new Event.ListReceived(entries, complete);
     }
 
@@ -158,6 +163,36 @@
         return list.entries().stream().map(entry -> byNumber.get(entry.endpoint()).toldEntry.withState(entry.state())).toList();
     }
 
+    /**
+     * One process listens at an address: where a list has several endpoints at one, only those that started last are there. The others are
+     * taken for gone, although discovery has not said so yet, for as long as it tells of the one that started after them.
+     */
+    private void resolveSharedAddresses(List<ListedEndpoint> entries, long now) {
+        Map<String, Long> latestBoots = new HashMap<>();
+        for (Endpoint endpoint : byNumber.values()) {
+            if (endpoint.isToldAsPresent()) {
+                latestBoots.merge(endpoint.toldEntry.address(), endpoint.toldEntry.bootMillis(), Math::max);
+            }
+        }
+        for (Endpoint endpoint : byNumber.values()) {
+            boolean replaced = endpoint.isToldAsPresent()
+                    && endpoint.toldEntry.bootMillis() < latestBoots.get(endpoint.toldEntry.address());
+            boolean gone = goneEndpoints.contains(endpoint);
+            if (replaced && !gone) {
+                markGone(endpoint, now);
+                entries.add(endpoint.listEntry);
+            } else if (!replaced && gone && endpoint.isToldAsPresent()) {
+                entries.add(applyEntry(endpoint.toldEntry, now, entries));
+            }
+        }
+    }
+
+    /** Discovery has said that an endpoint is not there any more. */
+    private void markLeft(Endpoint endpoint, long now) {
+        endpoint.toldEntry = endpoint.toldEntry.withState(EndpointState.GONE);
+        markGone(endpoint, now);
+    }
+
     private void markGone(Endpoint endpoint, long now) {
         if (goneEndpoints.add(endpoint)) {
             ListedEndpoint previousEntry = endpoint.listEntry;
@@ -233,19 +268,20 @@
     private ListedEndpoint applyEntry(ListEntry entry, long now, List<ListedEndpoint> entries) {
         Endpoint knownEndpoint = byUid.get(entry.uid());
         if (knownEndpoint != null && entry.destination() != knownEndpoint.destination()) {
-            markGone(knownEndpoint, now); // the number stays with the old destination, and the entry gets a new one
+            markLeft(knownEndpoint, now); // the number stays with the old destination, and the entry gets a new one
             entries.add(knownEndpoint.listEntry);
             knownEndpoint = null;
         }
         Endpoint endpoint = knownEndpoint != null ? knownEndpoint : new Endpoint(entry.uid(), ++lastNumber);
         InetSocketAddress address = ConnectionPool.parseAddress(entry.address());
-        endpoint.toldEntry = address == null ? entry.withAddress(endpoint.toldEntry.address()) : entry;
+        ListEntry previousEntry = endpoint.toldEntry;
+        endpoint.toldEntry = address == null ? entry.withAddress(previousEntry.address()) : entry;
+        boolean sameProcess = previousEntry != null && endpoint.toldEntry.isSameProcess(previousEntry);
         endpoint.listEntry = new ListedEndpoint(endpoint.number, Math.max(0, zones.indexOf(entry.zone())),
                 Math.max(0, kinds.indexOf(entry.kind())), entry.rate(), entry.state(), entry.bootMillis() * 1000,
                 entry.destination());
         ConnectionPool.Peer previousPeer = endpoint.peer;
-        boolean peerChanged = address != null && (previousPeer == null || !previousPeer.address().equals(address)
-                || goneEndpoints.contains(endpoint));
+        boolean peerChanged = address != null && (!sameProcess || goneEndpoints.contains(endpoint));
         if (previousPeer != null && peerChanged) {
             removedPeers.add(previousPeer);
         }
@@ -253,7 +289,7 @@
         endpoint.peer = peerChanged ? new ConnectionPool.Peer(address, lastRetryAfter) : previousPeer;
         goneEndpoints.remove(endpoint);
         if (entry.state() == EndpointState.GONE) {
-            markGone(endpoint, now);
+            markLeft(endpoint, now);
         } else if (entry.state() == EndpointState.DRAINING) {
             drainingPeers.add(endpoint.peer);
         }
--- a/src/main/java/terndyke/node/discovery/ListEntry.java
+++ b/src/main/java/terndyke/node/discovery/ListEntry.java
@@ -9,6 +9,15 @@
 public record ListEntry(String uid, String address, String zone, String kind, float rate, EndpointState state, long bootMillis,
         int destination) {
 
+    /**
+     * True if the process at the address is the one that the previous entry of this uid was about: at the same address, and not started
+     * since. An endpoint that comes back after it had left is another process too.
+     */
+    boolean isSameProcess(ListEntry previous) {
+        return address.equals(previous.address) && destination == previous.destination && bootMillis <= previous.bootMillis
+                && previous.state != EndpointState.GONE;
+    }
+
     /** The same entry in another state. */
     public ListEntry withState(EndpointState otherState) {
         return new ListEntry(uid, address, zone, kind, rate, otherState, bootMillis, destination);
--- a/src/test/java/terndyke/AddressReuseProcessTest.java
+++ b/src/test/java/terndyke/AddressReuseProcessTest.java
@@ -157,4 +157,24 @@
             }
         }
     }
+
+    /** Guards against messages for an endpoint that discovery still lists at an address where another destination's has started since. */
+    @Test
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void anEndpointListedAtAnAddressWhereALaterOneStartedIsNotCalled() throws Exception {
+        responding = true;
+        try (RawServer reused = new RawServer(call -> answerCall(call, callsAtReusedAddress));
+                RawServer own = new RawServer(call -> answerCall(call, callsAtOwnEndpoint));
+                RawServer platform = new RawServer(discovery::answer)) {
+            discovery.change("s-1", reused.address(), 0, "active", 1_000);
+            discovery.change("s-2", own.address(), 0, "active", 1_000);
+            try (TestNodeProcess node = TestNodeProcess.startServing(folder, platform.address(), "{}", false)) {
+                discovery.awaitWritten();
+                discovery.change("s-9", reused.address(), 1, "active", 2_000);
+                discovery.awaitWritten();
+                awaitCallsAtOwnEndpoint(submitMessages(node));
+                node.assertCleanExit();
+            }
+        }
+    }
 }
--- a/src/test/java/terndyke/node/discovery/EndpointRegistryTest.java
+++ b/src/test/java/terndyke/node/discovery/EndpointRegistryTest.java
@@ -92,6 +92,52 @@
         assertEquals(0, endpointRegistry.findEndpoint("s-1").number(), "same number, so its last Retry-After still applies");
     }
 
+    private static String targetJson(String uid, String endpoint, int destination, long bootMillis) {
+        return targetJson(uid, endpoint, "active").replace(":3,", ":" + destination + ",").replace(":12}", ":" + bootMillis + "}");
+    }
+
+    private EndpointState lastStateOf(Event.ListReceived list, String uid) {
+        long number = endpointRegistry.findEndpoint(uid).number();
+        return list.entries().stream().filter(entry -> entry.endpoint() == number).reduce((first, second) -> second).orElseThrow().state();
+    }
+
+    /** Guards against messages for the endpoint that was there before, where the list names both at one address. */
+    @Test
+    void ofTwoEndpointsAtOneAddressTheOneThatStartedLaterIsThereInWhateverOrderTheyAreTold() throws IOException {
+        update(1, true, targetJson("s-1", "127.0.0.9:1", 3, 12));
+        ConnectionPool.Peer first = endpointRegistry.findEndpoint("s-1").peer();
+        Event.ListReceived crossing = update(2, false, targetJson("s-9", "127.0.0.9:1", 5, 13));
+        assertEquals(EndpointState.GONE, lastStateOf(crossing, "s-1"));
+        assertEquals(EndpointState.READY, lastStateOf(crossing, "s-9"));
+        assertEquals(List.of(first), endpointRegistry.pollRemovedPeers());
+        Event.ListReceived whole = update(3, true, targetJson("s-9", "127.0.0.9:1", 5, 13), targetJson("s-1", "127.0.0.9:1", 3, 12));
+        assertEquals(EndpointState.GONE, lastStateOf(whole, "s-1"));
+        assertEquals(EndpointState.READY, lastStateOf(whole, "s-9"));
+        Event.ListReceived freed = update(4, false, targetJson("s-9", "127.0.0.9:1", "left").replace(":3,", ":5,"));
+        assertEquals(EndpointState.READY, lastStateOf(freed, "s-1"));
+        assertNotSame(first, endpointRegistry.findEndpoint("s-1").peer());
+    }
+
+    @Test
+    void endpointsOfSeveralDestinationsThatStartedTogetherShareTheirAddress() throws IOException {
+        Event.ListReceived list = update(1, true, targetJson("s-1", "127.0.0.9:1", 3, 0), targetJson("s-2", "127.0.0.9:1", 5, 0));
+        assertEquals(List.of(EndpointState.READY, EndpointState.READY), list.entries().stream().map(entry -> entry.state()).toList());
+        assertEquals(List.of(), endpointRegistry.pollRemovedPeers());
+    }
+
+    /** Guards against connections and calls of a process that has ended, where its successor keeps uid and address. */
+    @Test
+    void anEndpointThatHasStartedAgainIsADifferentPeer() throws IOException {
+        update(1, true, targetJson("s-1", "127.0.0.9:1", 3, 12));
+        ConnectionPool.Peer first = endpointRegistry.findEndpoint("s-1").peer();
+        update(2, false, targetJson("s-1", "127.0.0.9:1", 3, 12));
+        assertSame(first, endpointRegistry.findEndpoint("s-1").peer());
+        update(3, false, targetJson("s-1", "127.0.0.9:1", 3, 13));
+        assertNotSame(first, endpointRegistry.findEndpoint("s-1").peer());
+        assertEquals(List.of(first), endpointRegistry.pollRemovedPeers());
+        assertEquals(0, endpointRegistry.findEndpoint("s-1").number());
+    }
+
     @Test
     void goneEndpointsAreEvictedByAgeAndLongestGoneFirstAboveTheLimit() throws IOException {
         for (int i = 0; i < 50; i++) {
