A reload passes over the known endpoints, which are let go after the start

Cause, by reading and by the thread that met it: a SIGHUP read the whole file into a map of its fields and copied that of the known list, for one address; the list of the start stayed in memory.

Change: FlatJson.readWithout skips a field while it parses; NodeConfiguration is read again without the known list; DeliveryNode drops its own once it serves.

NodeConfigurationTest 8 of 8.

--- a/src/main/java/terndyke/node/DeliveryNode.java
+++ b/src/main/java/terndyke/node/DeliveryNode.java
@@ -19,7 +19,7 @@
 
 /** A delivery node that can be embedded: start() begins to serve, close() shuts down in good order. */
 public final class DeliveryNode implements AutoCloseable {
-    private final NodeConfiguration configuration;
+    private volatile NodeConfiguration configuration; // without the known endpoints once it has started
     private final NodeLog log;
     private final FatalErrorHandler fatalErrorHandler;
     private final Counters counters = new Counters();
@@ -87,6 +87,7 @@
         WarmUp.warmUpDispatcher(configuration, limits.warmUpTimeoutMicros());
         WarmUp.warmUpHttp(configuration, reactor, clock, log, configuration.listenAddress(), limits.warmUpTimeoutMicros());
         awaitFirstTurn(limits.startTimeoutMicros());
+        configuration = configuration.withoutKnownEndpoints();
         ready = true;
         log.trace(clock.now(), "serving");
         log.info("serving on " + configuration.listenAddress() + ", " + knownList.entries().size() + " endpoints known, "
@@ -130,8 +131,9 @@
      */
     public void reloadConfiguration(NodeConfiguration.StartupOptions options) {
         try {
-            NodeConfiguration reloaded = NodeConfiguration.read(options);
-            boolean restUnchanged = configuration.withDiscoveryAddress(reloaded.discoveryAddress()).equals(reloaded);
+            NodeConfiguration reloaded = NodeConfiguration.readWithoutKnownEndpoints(options);
+            boolean restUnchanged = configuration.withoutKnownEndpoints().withDiscoveryAddress(reloaded.discoveryAddress())
+                    .equals(reloaded);
             log.info("configuration read again, discovery at " + reloaded.discoveryAddress()
                     + (restUnchanged ? "" : "; other changes take effect at the next start"));
             reloadedDiscoveryAddress = reloaded.discoveryAddress();
--- a/src/main/java/terndyke/node/FlatJson.java
+++ b/src/main/java/terndyke/node/FlatJson.java
@@ -17,11 +17,20 @@
 
     private final Map<String, String> values = new LinkedHashMap<>();
 
-    private FlatJson() { }
+    private final String skippedName;
+
+    private FlatJson(String skippedName) {
+        this.skippedName = skippedName;
+    }
 
     /** Returns the values by path, such as known.targets.0.uid; the IOException says what cannot be parsed. */
     public static Map<String, String> read(byte[] json) throws IOException {
-        FlatJson flat = new FlatJson();
+        return readWithout("", json);
+    }
+
+    /** The same without the top-level field of the given name, however large, which takes no memory. */
+    static Map<String, String> readWithout(String skippedName, byte[] json) throws IOException {
+        FlatJson flat = new FlatJson(skippedName);
         try (JsonParser parser = JSON_FACTORY.createParser(json)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new IOException("not a JSON object");
@@ -49,7 +58,11 @@
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String name = parser.currentName();
             parser.nextToken();
-            readValue(parser, path.isEmpty() ? name : path + "." + name);
+            if (path.isEmpty() && name.equals(skippedName)) {
+                parser.skipChildren();
+            } else {
+                readValue(parser, path.isEmpty() ? name : path + "." + name);
+            }
         }
     }
 
--- a/src/main/java/terndyke/node/NodeConfiguration.java
+++ b/src/main/java/terndyke/node/NodeConfiguration.java
@@ -19,6 +19,7 @@
         Path stateDirectory, Limits limits, Map<String, String> knownEndpoints, DeliverySettings deliverySettings,
         List<String> gradeNames, List<String> tenantNames, List<String> zoneNames, List<String> endpointKinds,
         List<String> reportFields) {
+    private static final String KNOWN_ENDPOINTS_FIELD = "known";
     private static final long MAX_READ_RETRY_MICROS = 5_000_000; // the system may have no descriptor for a while
 
     /**
@@ -29,6 +30,15 @@
 
     /** Reads a node's configuration; the IOException says in one line what is wrong with it. */
     public static NodeConfiguration read(StartupOptions options) throws IOException {
+        return read(options, "");
+    }
+
+    /** The same for a running node, which has its list from discovery: without the known endpoints, which may be thousands. */
+    static NodeConfiguration readWithoutKnownEndpoints(StartupOptions options) throws IOException {
+        return read(options, KNOWN_ENDPOINTS_FIELD);
+    }
+
+    private static NodeConfiguration read(StartupOptions options, String skippedField) throws IOException {
         if (options.configurationFile() == null) {
             throw new IOException("no configuration file given");
         }
@@ -38,7 +48,7 @@
         String failure = "cannot read configuration " + options.configurationFile();
         byte[] json = new TransientErrorRetry(text -> { }, MAX_READ_RETRY_MICROS).run(failure, () -> readFile(options.configurationFile()));
         try {
-            return read(json, options);
+            return read(json, options, skippedField);
         } catch (IOException e) {
             throw new IOException(failure + ": " + e.getMessage(), e);
         }
@@ -53,8 +63,12 @@
     }
 
     static NodeConfiguration read(byte[] json, StartupOptions options) throws IOException {
+        return read(json, options, "");
+    }
+
+    private static NodeConfiguration read(byte[] json, StartupOptions options, String skippedField) throws IOException {
         try {
-            return read(FlatJson.read(json), options);
+            return read(FlatJson.readWithout(skippedField, json), options);
         } catch (InvalidInputException | IllegalArgumentException e) {
             throw new IOException(e.getMessage(), e);
         }
@@ -76,7 +90,7 @@
                 parseAddress(options.listenAddress() != null ? options.listenAddress() : values.get("listen"), "listen"),
                 parseAddress(options.discoveryAddress() != null ? options.discoveryAddress()
                         : values.getOrDefault("discovery", System.getenv("NODE_DISCOVERY")), "discovery"),
-                Path.of(options.stateDirectory()), limits, FlatJson.subtree("known", values), deliverySettings,
+                Path.of(options.stateDirectory()), limits, FlatJson.subtree(KNOWN_ENDPOINTS_FIELD, values), deliverySettings,
                 readNames(settings, "classes"),
                 readNames(settings, "tenants"), readList(settings, "dcs"), readList(settings, "kinds"),
                 readList(settings, "report.fields"));
@@ -88,6 +102,12 @@
                 gradeNames, tenantNames, zoneNames, endpointKinds, reportFields);
     }
 
+    /** A copy without the known endpoints, which are of use at the start alone. */
+    NodeConfiguration withoutKnownEndpoints() {
+        return new NodeConfiguration(name, listenAddress, discoveryAddress, stateDirectory, limits, Map.of(), deliverySettings,
+                gradeNames, tenantNames, zoneNames, endpointKinds, reportFields);
+    }
+
     private static InetSocketAddress parseAddress(String text, String fieldName) throws IOException {
         InetSocketAddress address = ConnectionPool.parseAddress(text);
         if (address == null) {
--- a/src/test/java/terndyke/node/NodeConfigurationTest.java
+++ b/src/test/java/terndyke/node/NodeConfigurationTest.java
@@ -7,10 +7,13 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 
 import terndyke.api.DeliverySettings;
 import terndyke.api.DeliverySettings.ListedRateAccuracy;
@@ -111,6 +114,16 @@
         });
     }
 
+    /** Guards against a SIGHUP that reads the list of a large fleet, twice over, for the address of discovery alone. */
+    @Test
+    void aConfigurationIsReadAgainWithoutItsKnownEndpoints(@TempDir Path folder) throws IOException {
+        Path file = Files.writeString(folder.resolve("config.json"), configurationJson(SETTINGS));
+        NodeConfiguration.StartupOptions options = new NodeConfiguration.StartupOptions(file.toString(), null, null, null, "state");
+        NodeConfiguration reloaded = NodeConfiguration.readWithoutKnownEndpoints(options);
+        assertEquals(Map.of(), reloaded.knownEndpoints());
+        assertEquals(NodeConfiguration.read(options).withoutKnownEndpoints(), reloaded);
+    }
+
     @Test
     void listsAndObjectsAreFlattenedAsTheWireDoes() throws IOException {
         Map<String, String> flat = FlatJson.read("{\"a\":{\"b\":[1,2],\"c\":[{\"d\":true}],\"e\":[],\"f\":null}}"
