An outdated list is not asked for again at once; silent clients keep 50 ms when full

Read again before the landing: Watch used the pause after failures for an outdated list too, which is 0 without a failure, so an agent that answers at once would have been asked in a loop for 4 s. It now waits 0.35 to 0.7 s; WatchTest checks it. And while no client is accepted, a connection that has sent nothing was closed after 5 ms, less than a usual client's request may take; it is 50 ms, as at the limit.

The tests with usual clients beside others share UsualClients. Measured: 40 tests of the watch, the connections, floods, crowded places and address reuse pass.

--- a/src/main/java/terndyke/node/discovery/Watch.java
+++ b/src/main/java/terndyke/node/discovery/Watch.java
@@ -110,6 +110,11 @@
                 limits.retryDelayMicros() << Math.min(consecutiveFailures, 10) - 1) * (0.5 + random.nextDouble()));
     }
 
+    /** The randomized delay after an outdated list, as discovery may send it again at once. */
+    private long outdatedListDelay() {
+        return (long) (limits.responseTimeoutMicros() * (0.5 + random.nextDouble() / 2));
+    }
+
     /** Requests the list until a call fails, where it comes on request; the decision module decides when. */
     public void requestList(long now) {
         listRequested = true;
@@ -187,7 +192,7 @@
             dueAt = fullListNeeded ? now + limits.retryDelayMicros() : now;
         } else {
             fullListNeeded = now >= outdatedListFilter.holdUntil(); // until then only what is newer than the list in use
-            dueAt = fullListNeeded ? now : Math.min(now + retryDelay(), outdatedListFilter.holdUntil());
+            dueAt = fullListNeeded ? now : Math.min(now + outdatedListDelay(), outdatedListFilter.holdUntil());
         }
         firstCallCompleted = true;
         consecutiveFailures = 0;
--- a/src/main/java/terndyke/node/http/ClientConnections.java
+++ b/src/main/java/terndyke/node/http/ClientConnections.java
@@ -73,7 +73,7 @@
             evictSlowRequests();
         }
         if (openCount >= limits.maxOpenClientConnections()) {
-            evictIdle(minSilentMicrosWhenFull()); // had more time to send something than the new client
+            evictIdle(limits.silentClientEvictionMicros() / 10); // had more time to send something than the new client
         }
         if (openCount >= limits.maxOpenClientConnections()) {
             return null;
@@ -102,10 +102,6 @@
         full = openCount >= limits.maxOpenClientConnections();
     }
 
-    private long minSilentMicrosWhenFull() {
-        return limits.silentClientEvictionMicros() / 10;
-    }
-
     /** Closes connections for other clients that have been in the middle of a request for longest, down to the limit. */
     private void evictSlowRequests() {
         long now = clock.getAsLong();
@@ -242,7 +238,8 @@
             phaseStartedAt = clock.getAsLong();
             idleConnections.add(this);
             deadline = phaseStartedAt + (requestReceived ? limits.idleClientTimeoutMicros() : limits.silentClientTimeoutMicros());
-            evictableAt = phaseStartedAt + (requestReceived ? limits.idleClientEvictionMicros() : minSilentMicrosWhenFull());
+            evictableAt = phaseStartedAt + (requestReceived ? limits.idleClientEvictionMicros()
+                    : limits.silentClientEvictionMicros());
         }
 
         /** Marks that a request is being read. Only one that is not read behind an open request may be given up for another client. */
--- a/src/test/java/terndyke/FloodingClientProcessTest.java
+++ b/src/test/java/terndyke/FloodingClientProcessTest.java
@@ -10,10 +10,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -27,17 +24,12 @@
 
 /** One client that sends at full speed, under ever new names, beside usual clients on new connections. */
 class FloodingClientProcessTest {
-    private static final int USUAL_CLIENTS = 4;
     private static final long FLOOD_MILLIS = 3_000;
-    private static final long MESSAGE_TIMEOUT_MILLIS = 5_000;
-    private static final long MESSAGE_INTERVAL_MILLIS = 50;
     private static final int REQUESTS_AT_ONCE = 50;
     private static final int LARGE_BODY_BYTES = 60_000;
     private static final int SLOW_READ_BYTES = 64;
     private static final int SLOW_READ_INTERVAL_MILLIS = 5;
 
-    private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
-    private final Set<String> taken = ConcurrentHashMap.newKeySet();
     private final Set<String> deliveredOrNotified = ConcurrentHashMap.newKeySet();
     private volatile boolean flooding = true;
 
@@ -63,42 +55,19 @@
             Thread floodingClient = new Thread(() -> sendFlood(node.port(), flood), "flooding-client");
             floodingClient.setDaemon(true);
             floodingClient.start();
-            List<Thread> usualClients = new ArrayList<>();
-            for (int i = 0; i < USUAL_CLIENTS; i++) {
-                String name = "usual-" + i;
-                usualClients.add(new Thread(() -> submitWhileFlooding(node.port(), name), name));
-            }
-            usualClients.forEach(Thread::start);
+            UsualClients usualClients = UsualClients.start(node.port(), () -> flooding);
             ProcessTestSupport.sleep(FLOOD_MILLIS);
             flooding = false;
-            for (Thread usualClient : usualClients) {
-                usualClient.join();
-            }
+            usualClients.awaitEnd();
             assertTrue(node.isAlive());
-            assertEquals(0, outcomes.getOrDefault(Outcome.CLOSED_UNANSWERED, 0) + outcomes.getOrDefault(Outcome.SLOW, 0)
-                    + outcomes.getOrDefault(Outcome.DOWN, 0), "requests without an answer in 400 ms: " + outcomes);
-            ProcessTestSupport.sleep(MESSAGE_TIMEOUT_MILLIS + 300);
-            assertEquals(List.of(), taken.stream().filter(id -> !deliveredOrNotified.contains(id)).toList(), "lost messages");
+            assertEquals(0, usualClients.count(Outcome.CLOSED_UNANSWERED) + usualClients.count(Outcome.SLOW)
+                    + usualClients.count(Outcome.DOWN), "requests without an answer in 400 ms: " + usualClients);
+            ProcessTestSupport.sleep(UsualClients.MESSAGE_TIMEOUT_MILLIS + 300);
+            assertEquals(List.of(), usualClients.taken().stream().filter(id -> !deliveredOrNotified.contains(id)).toList(), "lost messages");
             node.assertCleanExit();
         }
     }
 
-    private void submitWhileFlooding(int port, String name) {
-        for (int i = 0; flooding; i++) {
-            String id = name + "-" + i;
-            try (PersistentClient client = new PersistentClient()) {
-                Outcome outcome = client.submit(port, TestNodeProcess.requestText("status", id, 0, MESSAGE_TIMEOUT_MILLIS));
-                synchronized (outcomes) {
-                    outcomes.merge(outcome, 1, Integer::sum);
-                }
-                if (outcome == Outcome.TAKEN) {
-                    taken.add(id);
-                }
-            }
-            ProcessTestSupport.sleep(MESSAGE_INTERVAL_MILLIS);
-        }
-    }
-
     private void sendFlood(int port, Flood flood) {
         int requestsPerConnection = flood == Flood.NEW_CONNECTIONS ? 1 : flood == Flood.UNSOUND_AFTER_SOUND ? 2 : Integer.MAX_VALUE;
         for (int sent = 0; flooding;) {
@@ -127,10 +96,10 @@
 
     private static String request(Flood flood, int number) {
         String id = "flood-" + number;
-        String sound = TestNodeProcess.requestText("status", id, 0, MESSAGE_TIMEOUT_MILLIS);
+        String sound = TestNodeProcess.requestText("status", id, 0, UsualClients.MESSAGE_TIMEOUT_MILLIS);
         return switch (flood) {
             case NEW_CONNECTIONS -> sound;
-            case NEW_KEYS_READ_SLOWLY -> TestNodeProcess.requestText("reading", id, "key-" + number, 0, MESSAGE_TIMEOUT_MILLIS);
+            case NEW_KEYS_READ_SLOWLY -> TestNodeProcess.requestText("reading", id, "key-" + number, 0, UsualClients.MESSAGE_TIMEOUT_MILLIS);
             case LARGE_BODIES -> sound.substring(0, sound.indexOf("Content-Length")) + "Content-Length: " + LARGE_BODY_BYTES + "\r\n\r\n"
                     + "x".repeat(LARGE_BODY_BYTES);
             case UNSOUND -> sound.replace("dest=0", "dest=none-" + number);
--- a/src/test/java/terndyke/node/discovery/WatchTest.java
+++ b/src/test/java/terndyke/node/discovery/WatchTest.java
@@ -286,6 +286,8 @@
             now += path.contains("wait_ms=") ? 1_000 * Long.parseLong(path.substring(path.indexOf("wait_ms=") + 8)) : 0;
             applied = answer("{\"rev\":3,\"all\":" + !path.contains("after=") + ",\"targets\":[]}");
             assertTrue(applied || !path.contains("after=") || path.contains("after=7&"), path);
+            assertTrue(applied || !path.contains("after=") || watch.dueAt() > now || now - firstOutdatedAt >= 4_000_000,
+                    "discovery may send the outdated list again at once");
             now = Math.max(now, watch.dueAt());
         }
         assertTrue(now - firstOutdatedAt >= 4_000_000, "applied after " + (now - firstOutdatedAt) + " microseconds");
